--- /dev/null
+++ b/api.go
@@ -0,0 +1,274 @@
+package larkrouter
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Settings are what a controller is told once, at its start.
+type Settings struct {
+	Instances       int           // access nodes that share the call servers, this one included
+	Rank            int           // this node among them, from 0
+	Tick            time.Duration // events come at most this often
+	Classes         []Class
+	AskDiscovery    bool // list changes come only after Subscribe or FetchList
+	AskWithin       time.Duration
+	AnswerSlack     time.Duration // a final answer is still valid this long after the try's deadline
+	ReleaseGuard    time.Duration // no resend of a call this soon after a time-out, reset or cancel
+	Retransmit      time.Duration // a waiting set-up is repeated after this, at a cost; 0: never
+	ColdShare       float64       // a server starts at this share of its capacity or above
+	RampTime        time.Duration // and is warm after this
+	TipMultiple     float64       // more than this multiple of the present capacity
+	OverloadFor     time.Duration // for this long brings a cold server down
+	MaxAttempts     int           // attempts a call may have; 0: no limit
+	MayCancel       bool
+	MayProbe        bool
+	MayTellPeers    bool
+	RetryAfter      bool // callers are given the retry-after of a refusal
+	MaxRetryAfter   time.Duration
+	TwoAttempts     bool     // a call may have two attempts out; the controller never uses it
+	Mesh            bool     // servers are exchanges joined by groups of circuits, not shared pools
+	Home            int      // number of the own exchange, -1 with pools
+	ReportFields    []string // names of the values in Report, in order
+	LateFailPrice   float64
+	ProbePrice      float64
+	PeerPrice       float64
+	SecondChoice    float64
+	OverShareWorth  float64 // part of its worth kept by a call over its tenant's share
+	TenantAllowance []float64
+}
+
+// Repeat says how far a call of a class may be sent again.
+type Repeat uint8
+
+// The kinds of Repeat.
+const (
+	Repeatable    Repeat = iota // at will
+	Keyed                       // repeats are recognised within a scope and a time
+	NonRepeatable               // only when no earlier attempt may have run
+)
+
+// Scope is where a repeat of a Keyed call is recognised.
+type Scope uint8
+
+// The kinds of Scope.
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Class is a class of call.
+type Class struct {
+	Name      string
+	Aim       time.Duration // standing within this earns the full worth
+	Deadline  time.Duration // a caller gives up after this, all tries together
+	Worth     float64
+	LateShare float64 // share of the worth earned between aim and deadline
+	Repeat    Repeat
+	Scope     Scope
+	Window    time.Duration // for Keyed: how long repeats are recognised
+	Pools     []int         // numbers of the servers it may go to; nil: all
+}
+
+// Event is something that a controller is told: one of the types below.
+type Event interface{ event() }
+
+// ListKind tells how to read a ServerList.
+type ListKind uint8
+
+// The kinds of ListKind.
+const (
+	ListFailed ListKind = iota // a request to discovery failed; no servers in it
+	ListFull                   // all servers
+	ListCached                 // all servers as known some time ago
+	ListDelta                  // the changes only
+)
+
+// Phase is the state that the server list gives.
+type Phase uint8
+
+// The phases of a server.
+const (
+	Draining Phase = 0
+	Ready    Phase = 2
+	Gone     Phase = 3
+)
+
+// ServerInfo is a line of the server list.
+type ServerInfo struct {
+	ID      uint32
+	Zone    int
+	Kind    int
+	Number  int // what calls name as their destination
+	Phase   Phase
+	Weight  float64
+	Started time.Duration // clock of the last start; 0: long ago
+}
+
+type (
+	// ServerList is news of the call servers.
+	ServerList struct {
+		Kind    ListKind
+		Version uint64
+		Servers []ServerInfo
+	}
+	// Call hands a call to the node, which then owes it one final answer.
+	Call struct {
+		ID          uint64
+		Class       int
+		Tenant      int
+		Key         uint64
+		Left        time.Duration // until this try's deadline
+		Destination int
+		Circuits    float64
+		Via         int // advice; in transit: the node of origin; -1: none
+		DialedAgain bool
+		InTransit   bool
+		Returning   bool // it was cut while standing and comes again
+	}
+	// Standing tells that a set-up is complete.
+	Standing struct {
+		Call    uint64
+		Server  uint32
+		Elapsed time.Duration
+		Attempt int
+	}
+	// AttemptOver is the one outcome of an attempt.
+	AttemptOver struct {
+		Call    uint64
+		Attempt int
+		Outcome Outcome
+		Full    bool          // the processor was full
+		Wait    time.Duration // the wait that a full server named, if any
+		Elapsed time.Duration
+		Server  uint32
+		Ended   bool // nothing more is owed
+		Report  []float64
+	}
+	// CallGone tells that the caller left or that the answer is overdue.
+	CallGone struct{ Call uint64 }
+	// Timer is a Wake come due.
+	Timer struct{ Cookie uint64 }
+	// Probed answers a Probe, or comes unasked when free circuits change.
+	Probed struct {
+		Server  uint32
+		OK      bool
+		Elapsed time.Duration
+		Report  []float64
+	}
+	// PeerMessage comes from another access node; it may be lost, late or repeated.
+	PeerMessage struct {
+		From int
+		Data []byte
+	}
+)
+
+func (ServerList) event()  {}
+func (Call) event()        {}
+func (Standing) event()    {}
+func (AttemptOver) event() {}
+func (CallGone) event()    {}
+func (Timer) event()       {}
+func (Probed) event()      {}
+func (PeerMessage) event() {}
+
+// Outcome tells how an attempt ended.
+type Outcome uint8
+
+// The outcomes. NoConnection, Full and NotSent prove that the set-up never ran.
+const (
+	Completed Outcome = iota // the call stood and has ended
+	Failed                   // all lines busy, or a signalling fault
+	Full
+	TimedOut
+	NoConnection
+	Reset
+	Cancelled
+	NotSent
+)
+
+// Action is what a controller wants done: one of the types below.
+type Action interface{ action() }
+
+type (
+	// Attempt starts a set-up; attempts of a call are numbered from 0 in order.
+	Attempt struct {
+		Call    uint64
+		Server  uint32
+		Timeout time.Duration // 0: as long as the caller waits
+	}
+	// Cancel calls an attempt off; its outcome still comes.
+	Cancel struct {
+		Call    uint64
+		Attempt int
+	}
+	// Refuse is a final answer: turned away.
+	Refuse struct {
+		Call       uint64
+		RetryAfter time.Duration // 0: no advice
+	}
+	// Abandon is a final answer: failed.
+	Abandon struct{ Call uint64 }
+	// Wake asks for a Timer.
+	Wake struct {
+		Cookie uint64
+		After  time.Duration
+	}
+	// Subscribe asks discovery for changes from now on, or ends that.
+	Subscribe struct{ On bool }
+	// FetchList asks discovery for the whole list once.
+	FetchList struct{}
+	// Probe asks a server for a report.
+	Probe struct{ Server uint32 }
+	// Tell sends a message to one access node, or to all where To is negative.
+	Tell struct {
+		To   int
+		Data []byte
+	}
+	// Log is a line for the staff.
+	Log struct{ Text string }
+)
+
+func (Attempt) action()   {}
+func (Cancel) action()    {}
+func (Refuse) action()    {}
+func (Abandon) action()   {}
+func (Wake) action()      {}
+func (Subscribe) action() {}
+func (FetchList) action() {}
+func (Probe) action()     {}
+func (Tell) action()      {}
+func (Log) action()       {}
+
+// New makes the controller of one access node. Random draws come from seed alone.
+func New(s Settings, seed uint64) (*Controller, error) {
+	durations := map[string]time.Duration{"tick": s.Tick, "answer slack": s.AnswerSlack,
+		"release guard": s.ReleaseGuard, "retransmit": s.Retransmit, "ramp time": s.RampTime,
+		"overload time": s.OverloadFor, "longest retry-after": s.MaxRetryAfter, "ask within": s.AskWithin}
+	for _, name := range []string{"tick", "answer slack", "release guard", "retransmit", "ramp time",
+		"overload time", "longest retry-after", "ask within"} {
+		if durations[name] < 0 {
+			return nil, fmt.Errorf("settings: %s is negative: %v", name, durations[name])
+		}
+	}
+	if s.Instances < 0 || s.Rank < 0 || s.MaxAttempts < 0 {
+		return nil, fmt.Errorf("settings: instances %d, rank %d and attempts %d may not be negative",
+			s.Instances, s.Rank, s.MaxAttempts)
+	}
+	if math.IsNaN(s.ColdShare) || s.ColdShare < 0 || s.ColdShare > 1 {
+		return nil, fmt.Errorf("settings: cold share %v is not within 0 and 1", s.ColdShare)
+	}
+	for i, cl := range s.Classes {
+		if cl.Aim < 0 || cl.Deadline < 0 || cl.Window < 0 {
+			return nil, fmt.Errorf("settings: class %d (%s): aim %v, deadline %v or window %v is negative",
+				i, cl.Name, cl.Aim, cl.Deadline, cl.Window)
+		}
+		if math.IsNaN(cl.Worth) || cl.Worth < 0 || math.IsNaN(cl.LateShare) || cl.LateShare < 0 {
+			return nil, fmt.Errorf("settings: class %d (%s): worth %v or late share %v makes no sense",
+				i, cl.Name, cl.Worth, cl.LateShare)
+		}
+	}
+	return newController(s, seed), nil
+}
--- /dev/null
+++ b/controller.go
@@ -0,0 +1,794 @@
+// Package larkrouter decides, for one access node, where a call is set up, when, and whether at all.
+// Its events, actions and settings are in api.go; every decision is in this file.
+//
+// The ordinary path of a call is that of Abacus Filters (docs/design.md): route, gate, borrow, or
+// refuse at once. All else is a guard around that path and says what it guards against.
+package larkrouter
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// The filter. Times are parts of the shortest aim, since that is the time in which a hold must pay.
+const (
+	slotsPerAim = 12  // slots (T0) in an aim: the first two offsets, 3 and 9 slots, fall inside it
+	firstOffset = 3   // the paper's first offset, in slots
+	chainLength = 3   // N: offsets 3, 9 and 21; the third lies in the try's deadline but past the aim
+	ringSlots   = 22  // S: one more than the last offset of the longest chain
+	growth      = 0.1 // a gate within aim grows a tenth in a paper slot
+	paperSlot   = time.Second
+	answerSlots = 24 // answered set-ups are counted over two aims: a node sees only a few a second
+	burstAims   = 0.3
+	minDepth    = 1.5 // W at the least: a token and the half that least-worth calls must leave
+	minPerSlot  = 1.0 // "at least one" in a paper slot, for all nodes together
+)
+
+// Pressure: when a server counts as past the hold aim.
+const (
+	aimShare        = 1.0 / 3 // part of the shortest aim that a set-up may wait at a server
+	retransmitShare = 0.75    // and of the time after which its repeats add work
+	latencyGain     = 0.5     // of each answer in the smoothed answer time
+	idleHalf        = time.Second
+	drainAims       = 2.0 // a queue past the hold aim is to be gone within so many aims
+	minDrain        = 0.5
+	recoverAims     = 3.0 // aims over which the destination regains its calls
+)
+
+// Worth: who gets a scarce token.
+const (
+	worthier  = 1.5 // times the mean worth from which a call may overdraw the bucket
+	overdraft = 2.0 // tokens that it may overdraw
+	lesser    = 0.6 // times the mean worth under which a call leaves the last half token to others
+	leave     = 0.5
+)
+
+// Health and ends.
+const (
+	silentHolds  = 3.0 // hold aims without any answer until a server counts as silent
+	firstClosed  = 250 * time.Millisecond
+	longestClose = 2 * time.Second
+	closeTicks   = 4 // ticks before the deadline by which a final answer is given
+	logEvery     = 5 * time.Second
+)
+
+const slotCookie = 1
+
+var unbounded = math.Inf(1)
+
+// gate is a server's token bucket.
+type gate struct {
+	tokens, rate, depth float64
+}
+
+func (g *gate) refill(d time.Duration) {
+	if math.IsInf(g.rate, 1) {
+		g.tokens = g.depth
+		return
+	}
+	g.depth = max(minDepth, g.rate*burstAims)
+	g.tokens = min(g.depth, g.tokens+g.rate*d.Seconds())
+}
+
+// ring holds the future one-slot buckets: a the tokens left in each, b the chain-borrowed ones.
+type ring struct {
+	a    [ringSlots]float64
+	b    [ringSlots]int
+	head int
+}
+
+func (r *ring) at(i int) int { return (r.head + i) % ringSlots }
+
+// shift drops the current slot and appends one with w tokens.
+func (r *ring) shift(w float64) {
+	r.a[r.head], r.b[r.head] = w, 0
+	r.head = (r.head + 1) % ringSlots
+}
+
+// cap lowers every bucket to w, once the rate that filled them is gone.
+func (r *ring) cap(w float64) {
+	for i := range r.a {
+		r.a[i] = min(r.a[i], w)
+	}
+}
+
+func nextOffset(i, k int) int {
+	if k == 0 {
+		return firstOffset
+	}
+	return i + firstOffset<<k
+}
+
+// borrow books a token for a call blocked now and returns its slot and its place in the chain.
+// A short slot holds a part of a token, so a slot's bucket is read with those since the offset before.
+func (r *ring) borrow(last int) (slot, k int, ok bool) {
+	prev := 0
+	var passed []int
+	for i, k := firstOffset, 1; k <= chainLength && i <= last; i, k = nextOffset(i, k), k+1 {
+		sum := 0.0
+		for j := prev + 1; j <= i; j++ {
+			sum += r.a[r.at(j)]
+		}
+		if sum >= 1 {
+			need := 1.0
+			for j := i; j > prev && need > 0; j-- {
+				t := min(need, r.a[r.at(j)])
+				r.a[r.at(j)] -= t
+				need -= t
+			}
+			for _, p := range passed {
+				r.b[r.at(p)]++
+			}
+			return i, k, true
+		}
+		passed = append(passed, i)
+		prev = i
+	}
+	return 0, 0, false
+}
+
+// outstanding is an attempt without its outcome.
+type outstanding struct {
+	call    uint64
+	attempt int
+	sent    time.Duration
+	called  bool // called off
+}
+
+type server struct {
+	ServerInfo
+	gate
+	ring
+	out         []outstanding
+	latency     float64 // smoothed answer time, seconds
+	answered    time.Duration
+	counts      [answerSlots]int // answered set-ups per slot
+	count       int
+	fresh       int     // new calls in this slot
+	lambda      float64 // new calls a second, time-weighted
+	trust       float64 // share of its own calls that go to it: 1, but less after pressure
+	cutAt       time.Duration
+	coldAt      time.Duration // start of its warming; negative: warm
+	closedUntil time.Duration
+	closeFor    time.Duration
+	trial       bool // failed last: one attempt at a time until one stands
+	full        bool // circuits known to be too few
+	free        float64
+	loggedAt    time.Duration
+}
+
+// call is one that is owed an answer.
+type call struct {
+	Call
+	class    Class
+	aimAt    time.Duration
+	deadline time.Duration
+	attempts int
+	out      bool
+	cancel   bool
+	due      int           // slot in which it meets the gate again
+	after    time.Duration // not before: release guard
+	chain    int           // offsets used
+	held     bool
+	last     uint32 // server of the last attempt
+	ran      bool   // an attempt may have run
+	ranAt    time.Duration
+	ranZone  int
+	ranCell  int
+	ended    bool
+}
+
+// Controller decides for one access node. It is not safe for use by several goroutines.
+type Controller struct {
+	set     Settings
+	rng     *rand.Rand
+	now     time.Duration
+	slot    int
+	slotAt  time.Duration
+	t0      time.Duration
+	holdAim time.Duration
+	aim     time.Duration
+	servers []*server // by id
+	byID    map[uint32]*server
+	calls   map[uint64]*call
+	queue   []*call // the open ones in order of arrival
+	mean    float64 // mean worth of a new call
+	ref     float64 // answered set-ups a second of a warm server, for a cold one's share
+	acts    []Action
+	started bool
+	askAt   time.Duration
+	askWait time.Duration
+}
+
+func newController(s Settings, seed uint64) *Controller {
+	c := &Controller{set: s, rng: rand.New(rand.NewPCG(seed, 0x6c61726b)), byID: map[uint32]*server{},
+		calls: map[uint64]*call{}}
+	for _, cl := range s.Classes {
+		if cl.Aim > 0 && (c.aim == 0 || cl.Aim < c.aim) {
+			c.aim = cl.Aim
+		}
+	}
+	if c.aim == 0 {
+		c.aim = paperSlot
+	}
+	c.t0 = max(c.aim/slotsPerAim, s.Tick, time.Millisecond)
+	c.holdAim = time.Duration(float64(c.aim) * aimShare)
+	if s.Retransmit > 0 {
+		c.holdAim = min(c.holdAim, time.Duration(float64(s.Retransmit)*retransmitShare))
+	}
+	return c
+}
+
+func (c *Controller) act(a Action) { c.acts = append(c.acts, a) }
+
+func (c *Controller) log(s *server, format string, args ...any) {
+	if c.now-s.loggedAt >= logEvery || s.loggedAt == 0 {
+		s.loggedAt = c.now
+		c.act(Log{fmt.Sprintf("server %d: ", s.Number) + fmt.Sprintf(format, args...)})
+	}
+}
+
+// Handle takes an event and returns what to do, which holds until the next Handle.
+func (c *Controller) Handle(now time.Duration, ev Event) []Action {
+	c.acts = c.acts[:0]
+	if !c.started {
+		c.started, c.slotAt = true, now
+		c.act(Wake{slotCookie, c.t0})
+		if c.set.AskDiscovery {
+			c.act(Subscribe{true})
+			c.askAt, c.askWait = now, paperSlot
+		}
+	}
+	c.now = max(now, c.now)
+	switch ev := ev.(type) {
+	case ServerList:
+		c.onList(ev)
+	case Call:
+		c.onCall(ev)
+	case Standing:
+		c.onStanding(ev)
+	case AttemptOver:
+		c.onOver(ev)
+	case CallGone:
+		c.forget(c.calls[ev.Call])
+	case Timer:
+		if ev.Cookie == slotCookie {
+			c.onSlot()
+		}
+	case Probed:
+		c.onReport(c.byID[ev.Server], ev.Report)
+	}
+	return c.acts
+}
+
+func (c *Controller) onList(l ServerList) {
+	if l.Kind == ListFailed {
+		if c.set.AskDiscovery { // asked again from onSlot
+			c.askWait = min(max(2*c.askWait, paperSlot), max(c.set.AskWithin/2, paperSlot))
+			c.askAt = c.now + c.askWait
+		}
+		return
+	}
+	if l.Kind != ListDelta {
+		listed := map[uint32]bool{}
+		for _, in := range l.Servers {
+			listed[in.ID] = true
+		}
+		for _, s := range c.servers {
+			if !listed[s.ID] {
+				s.Phase = Gone
+			}
+		}
+	}
+	for _, in := range l.Servers {
+		s := c.byID[in.ID]
+		if s == nil {
+			s = &server{trust: 1, coldAt: -1, free: -1, latency: c.holdAim.Seconds() / 2}
+			s.rate, s.depth, s.tokens = unbounded, minDepth, minDepth
+			c.byID[in.ID] = s
+			at, _ := slices.BinarySearchFunc(c.servers, in.ID, func(s *server, id uint32) int {
+				return int(int64(s.ID) - int64(id))
+			})
+			c.servers = slices.Insert(c.servers, at, s)
+			s.Started = 0
+			s.ID = in.ID
+		}
+		if in.Started > s.Started && c.now-in.Started < c.set.RampTime {
+			c.chill(s, in.Started)
+			s.closedUntil, s.closeFor, s.trial = 0, 0, false
+		}
+		s.ServerInfo = in
+	}
+}
+
+// chill puts a server on the budget of a cold one. It guards against pushing over a processor that
+// has just started, told by the list or guessed from an outage that ended before the list knew.
+func (c *Controller) chill(s *server, at time.Duration) {
+	s.coldAt = at
+	s.tokens = min(s.tokens, 0)
+	s.rate = min(s.rate, c.coldRate(s))
+	s.ring.cap(0)
+	c.log(s, "cold, hold to %.1f/s", s.rate)
+}
+
+// coldRate is this node's share of what a warming server can do. Nobody is told its capacity: the
+// best that a warm server was seen to answer stands for it, and no multiple of it is used up.
+func (c *Controller) coldRate(s *server) float64 {
+	warm := 1.0
+	if c.set.RampTime > 0 {
+		warm = min(1, float64(c.now-s.coldAt)/float64(c.set.RampTime))
+	}
+	return max(c.ref*(c.set.ColdShare+(1-c.set.ColdShare)*warm), c.floor())
+}
+
+func (c *Controller) floor() float64 {
+	return minPerSlot / float64(max(c.set.Instances, 1)) / paperSlot.Seconds()
+}
+
+func (c *Controller) onCall(ev Call) {
+	if c.calls[ev.ID] != nil {
+		return
+	}
+	k := &call{Call: ev, deadline: c.now + ev.Left - c.margin()}
+	k.class = Class{Aim: c.aim, Worth: 1, LateShare: 1}
+	if ev.Class >= 0 && ev.Class < len(c.set.Classes) {
+		k.class = c.set.Classes[ev.Class]
+	}
+	k.aimAt = c.now + k.class.Aim
+	if ev.DialedAgain { // its aim ran from the first try
+		k.aimAt = c.now
+	}
+	c.calls[ev.ID] = k
+	c.queue = append(c.queue, k)
+	if c.mean == 0 {
+		c.mean = c.worth(k)
+	}
+	c.mean += (c.worth(k) - c.mean) * 0.01
+	if s := c.destination(k); s != nil {
+		s.fresh++
+	}
+	c.place(k)
+}
+
+// margin is kept before a deadline: a timer comes a slot late at most, an answer some ticks.
+func (c *Controller) margin() time.Duration { return closeTicks * max(c.set.Tick, time.Millisecond) }
+
+// worth is what a call still earns if it is sent now.
+func (c *Controller) worth(k *call) float64 {
+	if c.now >= k.aimAt {
+		return k.class.Worth * k.class.LateShare
+	}
+	return k.class.Worth
+}
+
+func (c *Controller) destination(k *call) *server {
+	for _, s := range c.servers {
+		if s.Number == k.Destination && s.Phase == Ready {
+			return s
+		}
+	}
+	return nil
+}
+
+// open says whether an attempt of the call may go to a server at all.
+func (c *Controller) open(s *server, k *call) bool {
+	if s.Phase != Ready || c.now < s.closedUntil || s.trial && len(s.out) > 0 {
+		return false
+	}
+	if c.set.Mesh && s.Number == c.set.Home || k.InTransit && s.Number != k.Destination {
+		return false
+	}
+	if !c.set.Mesh && k.class.Pools != nil && !slices.Contains(k.class.Pools, s.Number) {
+		return false
+	}
+	if s.free >= 0 && s.free < k.Circuits {
+		return false
+	}
+	if k.ran { // rules on repeats: the same effect may not happen twice
+		switch {
+		case k.class.Repeat == NonRepeatable:
+			return false
+		case k.class.Repeat == Keyed && (c.now-k.ranAt >= k.class.Window ||
+			k.class.Scope == ScopeZone && s.Zone != k.ranZone || k.class.Scope == ScopeCell && s.Number != k.ranCell):
+			return false
+		}
+	}
+	return true
+}
+
+// delay is how long a set-up sent now would wait: the smoothed answer time, or the age of the oldest
+// unanswered one, whichever is more. The age guards against servers that stop without a word.
+func (c *Controller) delay(s *server) float64 {
+	d := s.latency
+	if len(s.out) > 0 {
+		d = max(d, (c.now - s.out[0].sent).Seconds())
+	}
+	return d
+}
+
+func (c *Controller) pressed(s *server) bool { return c.delay(s) > c.holdAim.Seconds() }
+
+// admits says whether the gate lets the call pass. A call worth much more than the mean may overdraw
+// the bucket, one worth much less leaves a part: what is scarce goes to the call worth more.
+func (c *Controller) admits(s *server, k *call) bool {
+	if math.IsInf(s.rate, 1) {
+		return true
+	}
+	need, w := 1.0, c.worth(k)
+	if w >= worthier*c.mean && s.coldAt < 0 {
+		need -= overdraft
+	} else if w < lesser*c.mean {
+		need += leave
+	}
+	return s.tokens >= need
+}
+
+// route picks the server: the destination while it is within aim and its gate admits, else a
+// delay-weighted draw among others within aim, else whatever gate admits, destination first.
+func (c *Controller) route(k *call) *server {
+	dest := c.destination(k)
+	if dest != nil && (!c.open(dest, k) || !c.admits(dest, k)) {
+		dest = nil
+	}
+	if dest != nil && !c.pressed(dest) && (dest.trust >= 1 || c.rng.Float64() < dest.trust) {
+		return dest
+	}
+	if s := c.draw(k, false); s != nil {
+		return s
+	}
+	if dest != nil {
+		return dest
+	}
+	return c.draw(k, true)
+}
+
+func (c *Controller) draw(k *call, pressedToo bool) *server {
+	var pick *server
+	sum := 0.0
+	for _, s := range c.servers {
+		if s.Number == k.Destination || !c.open(s, k) || !c.admits(s, k) || !pressedToo && c.pressed(s) {
+			continue
+		}
+		w := 1 / (c.delay(s) + c.t0.Seconds())
+		sum += w
+		if c.rng.Float64()*sum < w {
+			pick = s
+		}
+	}
+	return pick
+}
+
+// place takes a call through route and gate; blocked, it borrows a slot or is refused.
+func (c *Controller) place(k *call) {
+	k.held = false
+	if c.set.MaxAttempts > 0 && k.attempts >= c.set.MaxAttempts {
+		c.finish(k)
+		return
+	}
+	if s := c.route(k); s != nil {
+		c.send(s, k)
+		return
+	}
+	c.block(k)
+}
+
+// ringFor is the server on whose ring a blocked call borrows: its destination's, or the least delayed.
+func (c *Controller) ringFor(k *call) *server {
+	if s := c.destination(k); s != nil && c.open(s, k) {
+		return s
+	}
+	var best *server
+	for _, s := range c.servers {
+		if c.open(s, k) && (best == nil || c.delay(s) < c.delay(best)) {
+			best = s
+		}
+	}
+	return best
+}
+
+func (c *Controller) block(k *call) {
+	last := int((k.deadline - c.now) / c.t0)
+	next := nextOffset(0, k.chain)
+	if k.chain > 0 {
+		next = firstOffset << k.chain
+	}
+	s := c.ringFor(k)
+	switch {
+	case s == nil: // no server in sight: held while there is hope
+		if firstOffset <= last {
+			c.hold(k, firstOffset)
+			return
+		}
+	case s.b[s.head] > 0 && next <= last && k.chain < chainLength:
+		s.b[s.head]--
+		k.chain++
+		c.hold(k, next)
+		return
+	default:
+		if slot, n, ok := s.borrow(last); ok {
+			k.chain = n
+			c.hold(k, slot)
+			return
+		}
+	}
+	if !c.oust(k, last) {
+		c.finish(k)
+	}
+}
+
+func (c *Controller) hold(k *call, slots int) { k.held, k.due = true, c.slot+slots }
+
+// oust gives a call worth more the booked slot of a held one worth less, which is refused.
+func (c *Controller) oust(k *call, last int) bool {
+	var victim *call
+	for _, h := range c.queue {
+		if h.held && !h.ended && h.due <= c.slot+last && c.worth(h)*worthier <= c.worth(k) && !h.ran &&
+			(victim == nil || c.worth(h) < c.worth(victim)) {
+			victim = h
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	k.chain = victim.chain
+	c.hold(k, max(victim.due-c.slot, 1))
+	c.finish(victim)
+	return true
+}
+
+func (c *Controller) send(s *server, k *call) {
+	timeout := k.deadline - c.now
+	if timeout <= 0 {
+		c.finish(k)
+		return
+	}
+	if !math.IsInf(s.rate, 1) {
+		s.tokens--
+	}
+	s.out = append(s.out, outstanding{call: k.ID, attempt: k.attempts, sent: c.now})
+	k.out, k.cancel, k.last = true, false, s.ID
+	k.attempts++
+	c.act(Attempt{k.ID, s.ID, timeout})
+}
+
+// finish gives the final answer: a refusal where no attempt may have run, else the call has failed.
+func (c *Controller) finish(k *call) {
+	if k.ran && (k.class.Repeat == NonRepeatable || k.class.Repeat == Keyed && k.class.Scope != ScopeAll) {
+		c.act(Abandon{k.ID})
+	} else {
+		var after time.Duration
+		if c.set.RetryAfter { // spread the redials of calls refused together
+			after = time.Duration((0.25 + 0.75*c.rng.Float64()) * float64(c.set.MaxRetryAfter))
+		}
+		c.act(Refuse{k.ID, after})
+	}
+	c.forget(k)
+}
+
+func (c *Controller) forget(k *call) {
+	if k != nil {
+		k.ended, k.held = true, false
+		delete(c.calls, k.ID)
+	}
+}
+
+func (c *Controller) onStanding(ev Standing) {
+	if s := c.byID[ev.Server]; s != nil && s.settle(ev.Call, ev.Attempt) {
+		s.count++
+		s.sample(ev.Elapsed, c.now)
+		if s.trial {
+			s.trial, s.closeFor = false, 0
+			c.log(s, "answers again")
+		}
+	}
+	c.forget(c.calls[ev.Call])
+}
+
+func (s *server) sample(d, now time.Duration) {
+	s.latency += (d.Seconds() - s.latency) * latencyGain
+	s.answered = now
+}
+
+// settle takes an attempt off the outstanding ones.
+func (s *server) settle(id uint64, attempt int) bool {
+	i := slices.IndexFunc(s.out, func(o outstanding) bool { return o.call == id && o.attempt == attempt })
+	if i < 0 {
+		return false
+	}
+	s.out = slices.Delete(s.out, i, i+1)
+	return true
+}
+
+func (c *Controller) onOver(ev AttemptOver) {
+	s, k := c.byID[ev.Server], c.calls[ev.Call]
+	if s != nil {
+		c.onReport(s, ev.Report)
+		if s.settle(ev.Call, ev.Attempt) {
+			c.judge(s, ev)
+		}
+	}
+	if k == nil {
+		return
+	}
+	if ev.Ended {
+		c.forget(k)
+		return
+	}
+	if !k.out || ev.Attempt != k.attempts-1 {
+		return
+	}
+	k.out = false
+	switch ev.Outcome {
+	case Full, NoConnection, NotSent:
+	default:
+		if !k.ran && s != nil {
+			k.ran, k.ranAt, k.ranZone, k.ranCell = true, c.now-ev.Elapsed, s.Zone, s.Number
+		}
+	}
+	switch ev.Outcome {
+	case TimedOut, Reset, Cancelled: // its circuits may stay taken until the guard has passed
+		k.after = c.now + c.set.ReleaseGuard
+		if k.after >= k.deadline {
+			c.finish(k)
+			return
+		}
+		c.hold(k, int((k.after-c.now)/c.t0)+1)
+	default:
+		c.place(k)
+	}
+}
+
+// judge reads an outcome as a symptom of its server.
+func (c *Controller) judge(s *server, ev AttemptOver) {
+	switch ev.Outcome {
+	case Full: // the wait is past what its processor allows
+		s.sample(max(ev.Elapsed, ev.Wait, 2*c.aim), c.now)
+	case NoConnection, Reset: // down, or up again since: not to be met with full force
+		c.shut(s, "set-ups fail")
+	case TimedOut:
+		s.latency = max(s.latency, ev.Elapsed.Seconds())
+	}
+}
+
+// shut closes a server for a while that doubles with each failure, then lets one attempt at a time
+// try it, on the budget of a cold one, for what failed may have restarted.
+func (c *Controller) shut(s *server, why string) {
+	s.closeFor = min(max(2*s.closeFor, firstClosed), longestClose)
+	s.closedUntil = c.now + time.Duration((0.75+0.5*c.rng.Float64())*float64(s.closeFor))
+	s.trial = true
+	c.chill(s, c.now)
+	c.log(s, "%s, closed for %v", why, s.closeFor)
+}
+
+func (c *Controller) onReport(s *server, report []float64) {
+	if s == nil || len(report) < 2 || !(report[0] >= 0) || !(report[1] > 0) {
+		return
+	}
+	s.free = report[0]
+}
+
+func (c *Controller) onSlot() {
+	c.act(Wake{slotCookie, c.t0})
+	if c.set.AskDiscovery && c.askWait > 0 && c.now >= c.askAt && c.askAt > 0 {
+		c.act(Subscribe{true})
+		c.askAt = 0
+	}
+	for n := 0; c.now >= c.slotAt+c.t0 && n < answerSlots; n++ {
+		c.slotAt += c.t0
+		c.slot++
+		for _, s := range c.servers {
+			c.turn(s)
+		}
+	}
+	c.servers = slices.DeleteFunc(c.servers, func(s *server) bool {
+		if s.Phase == Gone && len(s.out) == 0 {
+			delete(c.byID, s.ID)
+			return true
+		}
+		return false
+	})
+	c.rescue()
+	var due []*call
+	for _, k := range c.queue {
+		if !k.ended && !k.out && c.now+c.t0 >= k.deadline {
+			c.finish(k)
+		} else if !k.ended && k.held && k.due <= c.slot && c.now >= k.after {
+			due = append(due, k)
+		}
+	}
+	slices.SortStableFunc(due, func(a, b *call) int { return int(math.Copysign(1, c.worth(b)-c.worth(a))) })
+	for _, k := range due {
+		if !k.ended && k.held {
+			c.place(k)
+		}
+	}
+	c.queue = slices.DeleteFunc(c.queue, func(k *call) bool { return k.ended })
+}
+
+// turn ends a slot at a server: its rate falls, grows or is freed, its ring shifts.
+func (c *Controller) turn(s *server) {
+	t0 := c.t0.Seconds()
+	s.counts[c.slot%answerSlots] = s.count
+	s.count = 0
+	sum := 0
+	for _, n := range s.counts {
+		sum += n
+	}
+	rate := float64(sum) / (answerSlots * t0)
+	s.lambda += (float64(s.fresh)/t0 - s.lambda) * 2 / (answerSlots + 1)
+	s.fresh = 0
+	if len(s.out) == 0 && c.now-s.answered > idleHalf {
+		s.latency *= math.Exp2(-c.t0.Seconds() / idleHalf.Seconds())
+	}
+	d, hold := c.delay(s), c.holdAim.Seconds()
+	switch {
+	case d > hold:
+		s.trust = 0
+		if wait := time.Duration(max(d, hold) * float64(time.Second)); c.now-s.cutAt >= wait {
+			s.cutAt = c.now
+			drain := max(minDrain, 1-(d-hold)/(drainAims*c.aim.Seconds()))
+			if math.IsInf(s.rate, 1) {
+				s.tokens = min(s.tokens, 1)
+			}
+			s.rate = max(rate*drain, c.floor())
+			s.ring.cap(max(0, (s.rate-s.lambda)*t0))
+			c.log(s, "answers take %.0f ms, hold to %.1f/s", d*1000, s.rate)
+		}
+	default:
+		s.trust = min(1, s.trust+t0/(recoverAims*c.aim.Seconds()))
+		if !math.IsInf(s.rate, 1) {
+			s.rate += max(growth*s.rate, c.floor()) * t0 / paperSlot.Seconds()
+			if s.rate > s.lambda && s.coldAt < 0 {
+				s.rate = unbounded
+			}
+		}
+	}
+	if s.coldAt >= 0 {
+		if c.now-s.coldAt >= c.set.RampTime {
+			s.coldAt = -1
+		} else {
+			s.rate = min(s.rate, c.coldRate(s))
+		}
+	} else {
+		c.ref = max(c.ref*(1-t0/60), rate)
+	}
+	s.refill(c.t0)
+	w := max(0, (min(s.rate, s.lambda+rate+1)-s.lambda)*t0)
+	s.ring.shift(w)
+}
+
+// rescue calls off what waits at a silent server if another may still set it up in time.
+func (c *Controller) rescue() {
+	silence := time.Duration(silentHolds * float64(c.holdAim))
+	for _, s := range c.servers {
+		if len(s.out) == 0 || c.now-s.out[0].sent < silence || c.now-s.answered < silence {
+			continue
+		}
+		for i := range s.out {
+			o := &s.out[i]
+			k := c.calls[o.call]
+			if k == nil || o.called || !c.set.MayCancel || !c.elsewhere(s, k) {
+				continue
+			}
+			o.called = true
+			c.act(Cancel{o.call, o.attempt})
+			c.log(s, "silent for %.1f s", (c.now - s.out[0].sent).Seconds())
+		}
+	}
+}
+
+func (c *Controller) elsewhere(from *server, k *call) bool {
+	if k.class.Repeat == NonRepeatable || c.set.MaxAttempts > 0 && k.attempts >= c.set.MaxAttempts {
+		return false
+	}
+	for _, s := range c.servers {
+		at := c.now + c.set.ReleaseGuard + time.Duration(c.delay(s)*float64(time.Second))
+		if s != from && c.open(s, k) && !c.pressed(s) && at < k.deadline {
+			return true
+		}
+	}
+	return false
+}
