Free a gate only above what could be drawn to it, not above its own offer

Change: the offered rate is the sum over all servers. Should also hold where one server heals alone among pressed ones; may hurt where a gate is bounded by a blip, which then takes seconds longer to be freed.

--- a/controller.go
+++ b/controller.go
@@ -195,6 +195,7 @@
 	byID    map[uint32]*server
 	calls   map[uint64]*call
 	queue   []*call // the open ones in order of arrival
+	offered float64 // new calls a second, for all servers: what could be drawn to one of them
 	mean    float64 // mean worth of a new call
 	ref     float64 // answered set-ups a second of a warm server, for a cold one's share
 	acts    []Action
@@ -679,6 +680,10 @@
 	for n := 0; c.now >= c.slotAt+c.t0 && n < answerSlots; n++ {
 		c.slotAt += c.t0
 		c.slot++
+		c.offered = 0
+		for _, s := range c.servers {
+			c.offered += s.lambda
+		}
 		for _, s := range c.servers {
 			c.turn(s)
 		}
@@ -741,7 +746,7 @@
 		s.trust = min(1, s.trust+t0/(recoverAims*c.aim.Seconds()))
 		if !math.IsInf(s.rate, 1) {
 			s.rate += max(growth*s.rate, c.floor()) * t0 / paperSlot.Seconds()
-			if s.rate > s.lambda && s.coldAt < 0 {
+			if s.rate > c.offered && s.coldAt < 0 {
 				s.rate = unbounded
 			}
 		}
