--- a/controller.go
+++ b/controller.go
@@ -49,6 +49,7 @@
 // Health and ends.
 const (
 	silentHolds  = 3.0 // hold aims without any answer until a server counts as silent
+	failsToShut  = 2   // in a row: one may be chance, or the last of a queue's edge
 	firstClosed  = 250 * time.Millisecond
 	longestClose = 2 * time.Second
 	closeTicks   = 4 // ticks before the deadline by which a final answer is given
@@ -154,9 +155,9 @@
 	coldAt      time.Duration // start of its warming; negative: warm
 	closedUntil time.Duration
 	closeFor    time.Duration
-	trial       bool // failed last: one attempt at a time until one stands
-	full        bool // circuits known to be too few
-	free        float64
+	trial       bool    // failed last: one attempt at a time until one stands
+	fails       int     // attempts turned away in a row
+	free        float64 // circuits free; negative: not known
 	loggedAt    time.Duration
 }
 
@@ -579,6 +580,7 @@
 func (c *Controller) onStanding(ev Standing) {
 	if s := c.byID[ev.Server]; s != nil && s.settle(ev.Call, ev.Attempt) {
 		s.count++
+		s.fails = 0
 		s.sample(ev.Elapsed, c.now)
 		if s.trial {
 			s.trial, s.closeFor = false, 0
@@ -645,10 +647,15 @@
 // judge reads an outcome as a symptom of its server.
 func (c *Controller) judge(s *server, ev AttemptOver) {
 	switch ev.Outcome {
-	case Full: // the wait is past what its processor allows
-		s.sample(max(ev.Elapsed, ev.Wait, 2*c.aim), c.now)
+	case Full, Failed: // no room, or a fault; answered fast, either would draw calls
+		if ev.Outcome == Full {
+			s.sample(max(ev.Elapsed, ev.Wait, 2*c.aim), c.now)
+		}
+		if s.fails++; s.fails >= failsToShut {
+			c.shut(s, "set-ups refused or faulty", false)
+		}
 	case NoConnection, Reset: // down, or up again since: not to be met with full force
-		c.shut(s, "set-ups fail")
+		c.shut(s, "set-ups fail", true)
 	case TimedOut:
 		s.latency = max(s.latency, ev.Elapsed.Seconds())
 	}
@@ -656,11 +663,13 @@
 
 // shut closes a server for a while that doubles with each failure, then lets one attempt at a time
 // try it, on the budget of a cold one, for what failed may have restarted.
-func (c *Controller) shut(s *server, why string) {
+func (c *Controller) shut(s *server, why string, down bool) {
 	s.closeFor = min(max(2*s.closeFor, firstClosed), longestClose)
 	s.closedUntil = c.now + time.Duration((0.75+0.5*c.rng.Float64())*float64(s.closeFor))
 	s.trial = true
-	c.chill(s, c.now)
+	if down {
+		c.chill(s, c.now)
+	}
 	c.log(s, "%s, closed for %v", why, s.closeFor)
 }
 
