--- a/controller.go
+++ b/controller.go
@@ -49,7 +49,7 @@
 // Health and ends.
 const (
 	silentHolds  = 3.0 // hold aims without any answer until a server counts as silent
-	failsToShut  = 2   // in a row: one may be chance, or the last of a queue's edge
+	failsToShut  = 4   // in a row: where each set-up fails by chance, fewer are common
 	firstClosed  = 250 * time.Millisecond
 	longestClose = 2 * time.Second
 	closeTicks   = 4 // ticks before the deadline by which a final answer is given
