--- a/controller.go
+++ b/controller.go
@@ -33,7 +33,7 @@
 	retransmitShare = 0.75    // and of the time after which its repeats add work
 	latencyGain     = 0.5     // of each answer in the smoothed answer time
 	idleHalf        = time.Second
-	drainAims       = 2.0 // a queue past the hold aim is to be gone within so many aims
+	drainAims       = 1.0 // a queue past the hold aim is to be gone within so many aims
 	minDrain        = 0.5
 	recoverAims     = 3.0 // aims over which the destination regains its calls
 )
