A gate within aim grows by at least one set-up a second at each node

Should also hold after any short fright. May hurt with very many nodes on one server, where one a second each is much of its capacity.

--- a/controller.go
+++ b/controller.go
@@ -24,6 +24,7 @@
 	answerSlots = 24 // answered set-ups are counted over two aims: a node sees only a few a second
 	burstAims   = 0.3
 	minDepth    = 1.5 // W at the least: a token and the half that least-worth calls must leave
+	minGrowth   = 1.0 // and at least by one set-up a second
 	minPerSlot  = 1.0 // "at least one" in a paper slot, for all nodes together
 )
 
@@ -754,7 +755,7 @@
 	default:
 		s.trust = min(1, s.trust+t0/(recoverAims*c.aim.Seconds()))
 		if !math.IsInf(s.rate, 1) {
-			s.rate += max(growth*s.rate, c.floor()) * t0 / paperSlot.Seconds()
+			s.rate += max(growth*s.rate, minGrowth) * t0 / paperSlot.Seconds()
 			if s.rate > c.offered && s.coldAt < 0 {
 				s.rate = unbounded
 			}
