--- a/api.go
+++ b/api.go
@@ -177,11 +177,11 @@
 // Outcome tells how an attempt ended.
 type Outcome uint8
 
-// The outcomes. NoConnection, Full and NotSent prove that the set-up never ran.
+// The outcomes. NoConnection, TurnedAway and NotSent prove that the set-up never ran.
 const (
 	Completed Outcome = iota // the call stood and has ended
 	Failed                   // all lines busy, or a signalling fault
-	Full
+	TurnedAway
 	TimedOut
 	NoConnection
 	Reset
--- a/controller.go
+++ b/controller.go
@@ -626,7 +626,7 @@
 	}
 	k.out = false
 	switch ev.Outcome {
-	case Full, NoConnection, NotSent:
+	case TurnedAway, NoConnection, NotSent:
 	default:
 		if !k.ran && s != nil {
 			k.ran, k.ranAt, k.ranZone, k.ranCell = true, c.now-ev.Elapsed, s.Zone, s.Number
@@ -648,8 +648,8 @@
 // judge reads an outcome as a symptom of its server.
 func (c *Controller) judge(s *server, ev AttemptOver) {
 	switch ev.Outcome {
-	case Full, Failed: // no room, or a fault; answered fast, either would draw calls
-		if ev.Outcome == Full {
+	case TurnedAway, Failed: // no room, or a fault; answered fast, either would draw calls
+		if ev.Full { // lines or agents all taken say nothing of the processor
 			s.sample(max(ev.Elapsed, ev.Wait, 2*c.aim), c.now)
 		}
 		if s.fails++; s.fails >= failsToShut {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -195,7 +195,7 @@
 	d.lists[sheet], d.listed[sheet] = rows, true
 }
 
-var outcomes = map[uint16]larkrouter.Outcome{200: larkrouter.Completed, 500: larkrouter.Failed, 503: larkrouter.Full,
+var outcomes = map[uint16]larkrouter.Outcome{200: larkrouter.Completed, 500: larkrouter.Failed, 503: larkrouter.TurnedAway,
 	504: larkrouter.TimedOut, 502: larkrouter.NoConnection, 598: larkrouter.Reset, 499: larkrouter.Cancelled,
 	410: larkrouter.NotSent}
 
