--- a/controller.go
+++ b/controller.go
@@ -21,7 +21,10 @@
 	ringSlots   = 22  // S: one more than the last offset of the longest chain
 	growth      = 0.1 // a gate within aim grows a tenth in a paper slot
 	paperSlot   = time.Second
-	answerSlots = 24 // answered set-ups are counted over two aims: a node sees only a few a second
+	answerSlots = 24              // answered set-ups are counted over two aims: a node sees only a few a second
+	steadyRate  = 6 * time.Second // memory of the longer answered rate
+	steadyPart  = 0.4             // and its part: the short count alone is chance at a few a second
+	refTime     = 60 * time.Second
 	burstAims   = 0.3
 	minDepth    = 1.5 // W at the least: a token and the half that least-worth calls must leave
 	minGrowth   = 1.0 // and at least by one set-up a second
@@ -149,6 +152,8 @@
 	answered    time.Duration
 	counts      [answerSlots]int // answered set-ups per slot
 	count       int
+	slots       int     // slots counted so far
+	steady      float64 // answered set-ups a second over a longer time
 	fresh       int     // new calls in this slot
 	lambda      float64 // new calls a second, time-weighted
 	trust       float64 // share of its own calls that go to it: 1, but less after pressure
@@ -732,7 +737,10 @@
 	for _, n := range s.counts {
 		sum += n
 	}
-	rate := float64(sum) / (answerSlots * t0)
+	s.slots = min(s.slots+1, answerSlots)
+	recent := float64(sum) / (float64(s.slots) * t0)
+	s.steady += (recent - s.steady) * t0 / steadyRate.Seconds()
+	rate := recent + (s.steady-recent)*steadyPart
 	s.lambda += (float64(s.fresh)/t0 - s.lambda) * 2 / (answerSlots + 1)
 	s.fresh = 0
 	if len(s.out) == 0 && c.now-s.answered > idleHalf {
@@ -768,7 +776,7 @@
 			s.rate = min(s.rate, c.coldRate(s))
 		}
 	} else {
-		c.ref = max(c.ref*(1-t0/60), rate)
+		c.ref = max(c.ref*(1-t0/refTime.Seconds()), rate)
 	}
 	s.refill(c.t0)
 	w := max(0, (min(s.rate, s.lambda+rate+1)-s.lambda)*t0)
