Servers without a free line: told by reports and refusals, held to what they answer

Cause: a server can run out of lines while its processor is half idle; the refusal is fast, so it looked like a fast server. Now lines told or found taken close it to sends until newer news (believed for 2 s, so that lost news locks nothing out), and the gate falls to the answered rate as it does past the hold aim, undrained. Should also hold for trunk groups of a mesh.

--- a/controller.go
+++ b/controller.go
@@ -56,7 +56,8 @@
 	failsToShut  = 4   // in a row: where each set-up fails by chance, fewer are common
 	firstClosed  = 250 * time.Millisecond
 	longestClose = 2 * time.Second
-	closeTicks   = 4 // ticks before the deadline by which a final answer is given
+	closeTicks   = 4               // ticks before the deadline by which a final answer is given
+	lineNews     = 2 * time.Second // a count of free lines is believed for so long
 	logEvery     = 5 * time.Second
 )
 
@@ -163,7 +164,9 @@
 	closeFor    time.Duration
 	trial       bool    // failed last: one attempt at a time until one stands
 	fails       int     // attempts turned away in a row
-	free        float64 // circuits free; negative: not known
+	free        float64 // lines or circuits free
+	freeAt      time.Duration
+	lineless    bool // turned a set-up away for want of a line since the last cut
 	loggedAt    time.Duration
 }
 
@@ -294,7 +297,7 @@
 	for _, in := range l.Servers {
 		s := c.byID[in.ID]
 		if s == nil {
-			s = &server{trust: 1, coldAt: -1, free: -1, latency: c.holdAim.Seconds() / 2}
+			s = &server{trust: 1, coldAt: -1, freeAt: -lineNews, latency: c.holdAim.Seconds() / 2}
 			s.rate, s.depth, s.tokens = unbounded, minDepth, minDepth
 			c.byID[in.ID] = s
 			at, _ := slices.BinarySearchFunc(c.servers, in.ID, func(s *server, id uint32) int {
@@ -392,7 +395,7 @@
 	if !c.set.Mesh && k.class.Pools != nil && !slices.Contains(k.class.Pools, s.Number) {
 		return false
 	}
-	if s.free >= 0 && s.free < k.Circuits {
+	if c.now-s.freeAt < lineNews && s.free < k.Circuits {
 		return false
 	}
 	if k.ran { // rules on repeats: the same effect may not happen twice
@@ -657,6 +660,9 @@
 		if ev.Full { // lines or agents all taken say nothing of the processor
 			s.sample(max(ev.Elapsed, ev.Wait, 2*c.aim), c.now)
 		}
+		if ev.Outcome == TurnedAway && !ev.Full {
+			s.free, s.freeAt, s.lineless = 0, c.now, true
+		}
 		if s.fails++; s.fails >= failsToShut {
 			c.shut(s, "set-ups refused or faulty", false)
 		}
@@ -683,7 +689,7 @@
 	if s == nil || len(report) < 2 || !(report[0] >= 0) || !(report[1] > 0) {
 		return
 	}
-	s.free = report[0]
+	s.free, s.freeAt = report[0], c.now
 }
 
 func (c *Controller) onSlot() {
@@ -760,6 +766,11 @@
 			s.ring.cap(max(0, (s.rate-s.lambda)*t0))
 			c.log(s, "answers take %.0f ms, hold to %.1f/s", d*1000, s.rate)
 		}
+	case s.lineless && c.now-s.cutAt >= c.holdAim:
+		s.lineless, s.cutAt = false, c.now
+		s.rate = max(min(s.rate, rate), c.floor())
+		s.ring.cap(max(0, (s.rate-s.lambda)*t0))
+		c.log(s, "no line free, hold to %.1f/s", s.rate)
 	default:
 		s.trust = min(1, s.trust+t0/(recoverAims*c.aim.Seconds()))
 		if !math.IsInf(s.rate, 1) {
