Know a redial by the number called; its aim runs from the first try

A tap showed that a redial carries the number of the refused try. Numbers turned away are kept until the deadline and used once each. May hurt where many callers dial one number: each refusal marks one later call of it late.

--- a/api.go
+++ b/api.go
@@ -25,6 +25,7 @@
 	MayCancel       bool
 	MayProbe        bool
 	MayTellPeers    bool
+	MarksRedials    bool // callers mark their further tries
 	RetryAfter      bool // callers are given the retry-after of a refusal
 	MaxRetryAfter   time.Duration
 	TwoAttempts     bool     // a call may have two attempts out; the controller never uses it
--- a/controller.go
+++ b/controller.go
@@ -174,6 +174,7 @@
 type call struct {
 	Call
 	class    Class
+	first    time.Duration // its first try
 	aimAt    time.Duration
 	deadline time.Duration
 	attempts int
@@ -191,32 +192,45 @@
 	ended    bool
 }
 
+// redialKey and turnedCall remember calls that did not stand.
+type redialKey struct {
+	number uint64
+	class  int
+}
+
+type turnedCall struct {
+	redialKey
+	first, until time.Duration
+}
+
 // Controller decides for one access node. It is not safe for use by several goroutines.
 type Controller struct {
-	set     Settings
-	rng     *rand.Rand
-	now     time.Duration
-	slot    int
-	slotAt  time.Duration
-	t0      time.Duration
-	holdAim time.Duration
-	aim     time.Duration
-	servers []*server // by id
-	byID    map[uint32]*server
-	calls   map[uint64]*call
-	queue   []*call // the open ones in order of arrival
-	offered float64 // new calls a second, for all servers: what could be drawn to one of them
-	mean    float64 // mean worth of a new call
-	ref     float64 // answered set-ups a second of a warm server, for a cold one's share
-	acts    []Action
-	started bool
-	askAt   time.Duration
-	askWait time.Duration
+	set       Settings
+	rng       *rand.Rand
+	now       time.Duration
+	slot      int
+	slotAt    time.Duration
+	t0        time.Duration
+	holdAim   time.Duration
+	aim       time.Duration
+	servers   []*server // by id
+	byID      map[uint32]*server
+	calls     map[uint64]*call
+	queue     []*call // the open ones in order of arrival
+	offered   float64 // new calls a second, for all servers: what could be drawn to one of them
+	mean      float64 // mean worth of a new call
+	ref       float64 // answered set-ups a second of a warm server, for a cold one's share
+	acts      []Action
+	started   bool
+	turned    map[redialKey]time.Duration // first tries of calls that did not stand
+	turnedAge []turnedCall
+	askAt     time.Duration
+	askWait   time.Duration
 }
 
 func newController(s Settings, seed uint64) *Controller {
 	c := &Controller{set: s, rng: rand.New(rand.NewPCG(seed, 0x6c61726b)), byID: map[uint32]*server{},
-		calls: map[uint64]*call{}}
+		calls: map[uint64]*call{}, turned: map[redialKey]time.Duration{}}
 	for _, cl := range s.Classes {
 		if cl.Aim > 0 && (c.aim == 0 || cl.Aim < c.aim) {
 			c.aim = cl.Aim
@@ -264,6 +278,7 @@
 	case AttemptOver:
 		c.onOver(ev)
 	case CallGone:
+		c.remember(c.calls[ev.Call])
 		c.forget(c.calls[ev.Call])
 	case Timer:
 		if ev.Cookie == slotCookie {
@@ -348,10 +363,8 @@
 	if ev.Class >= 0 && ev.Class < len(c.set.Classes) {
 		k.class = c.set.Classes[ev.Class]
 	}
-	k.aimAt = c.now + k.class.Aim
-	if ev.DialedAgain { // its aim ran from the first try
-		k.aimAt = c.now
-	}
+	k.first = c.firstTry(k)
+	k.aimAt = k.first + k.class.Aim
 	c.calls[ev.ID] = k
 	c.queue = append(c.queue, k)
 	if c.mean == 0 {
@@ -364,6 +377,33 @@
 	c.place(k)
 }
 
+// firstTry is when the caller first tried, from which its aim runs. A redial earns little once that
+// has passed, marked or not: it is known by the number called, which was turned away before.
+func (c *Controller) firstTry(k *call) time.Duration {
+	if c.set.MarksRedials && !k.DialedAgain {
+		return c.now
+	}
+	key := redialKey{k.Key, k.Class}
+	if first, ok := c.turned[key]; ok && k.Key != 0 {
+		delete(c.turned, key)
+		return first
+	}
+	if k.DialedAgain {
+		return c.now - max(0, k.class.Deadline-k.Left)
+	}
+	return c.now
+}
+
+// remember keeps a call that did not stand, so that its redial is known, until its deadline.
+func (c *Controller) remember(k *call) {
+	if k == nil || k.Key == 0 {
+		return
+	}
+	key := redialKey{k.Key, k.Class}
+	c.turned[key] = k.first
+	c.turnedAge = append(c.turnedAge, turnedCall{key, k.first, max(k.first+k.class.Deadline, c.now)})
+}
+
 // margin is kept before a deadline: a timer comes a slot late at most, an answer some ticks.
 func (c *Controller) margin() time.Duration { return closeTicks * max(c.set.Tick, time.Millisecond) }
 
@@ -576,6 +616,7 @@
 		}
 		c.act(Refuse{k.ID, after})
 	}
+	c.remember(k)
 	c.forget(k)
 }
 
@@ -626,6 +667,7 @@
 		return
 	}
 	if ev.Ended {
+		c.remember(k)
 		c.forget(k)
 		return
 	}
@@ -716,6 +758,12 @@
 		}
 		return false
 	})
+	for len(c.turnedAge) > 0 && c.turnedAge[0].until <= c.now {
+		if old := c.turnedAge[0]; c.turned[old.redialKey] == old.first {
+			delete(c.turned, old.redialKey)
+		}
+		c.turnedAge = c.turnedAge[1:]
+	}
 	c.rescue()
 	var due []*call
 	for _, k := range c.queue {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -28,6 +28,9 @@
 		Repeat     string  `json:"repeat"`
 		WindowUs   int64   `json:"windowUs"`
 	} `json:"classes"`
+	Clients struct {
+		MarksRetry bool `json:"marksRetry"`
+	} `json:"clients"`
 	Discovery string `json:"discovery"`
 	Extra     struct {
 		AllowedPools   [][]int `json:"allowedPools"`
@@ -72,7 +75,7 @@
 		Retransmit: us(j.Extra.RetransmitUs), ColdShare: j.Rules.ColdShare, RampTime: us(j.Rules.RampTimeUs),
 		TipMultiple: j.Rules.TipMultiple, OverloadFor: us(j.Rules.OverloadForUs),
 		MaxAttempts: j.Allowed.MaxAttempts, MayCancel: j.Allowed.Cancel, MayProbe: j.Allowed.MayProbe,
-		MayTellPeers: j.Allowed.Peers, RetryAfter: j.Allowed.RetryAfter, MaxRetryAfter: us(j.Allowed.MaxRetryAfterUs),
+		MayTellPeers: j.Allowed.Peers, RetryAfter: j.Allowed.RetryAfter, MarksRedials: j.Clients.MarksRetry, MaxRetryAfter: us(j.Allowed.MaxRetryAfterUs),
 		TwoAttempts: j.Allowed.SecondCopies, Mesh: j.Extra.Shape == "mesh", Home: -1, ReportFields: j.Report.Fields,
 		LateFailPrice: j.Penalties["lateFail"], ProbePrice: j.Penalties["probe"], PeerPrice: j.Penalties["peer"],
 		OverShareWorth: j.OverShareWorth,
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -247,7 +247,7 @@
 	s, err := Settings([]byte(`{"allowed": {"cancel": true, "maxAttempts": 4, "maxRetryAfterUs": 2000000, "retryAfter": true},
 		"classes": [{"deadlineUs": 9000000, "dedupScope": "zone", "lateShare": 0.25, "name": "a", "points": 2, "promiseUs": 1500000,
 			"repeat": "idempotency_key", "windowUs": 5000000}, {"repeat": "non_idempotent"}],
-		"discovery": "ask", "unheard of": [1, {"x": 2}],
+		"clients": {"marksRetry": true}, "discovery": "ask", "unheard of": [1, {"x": 2}],
 		"extra": {"allowedPools": [[0, 3]], "homeNo": 4, "releaseGuardUs": 300000, "retransmitUs": 400000, "shape": "mesh"},
 		"groupSize": 5, "rank": 2, "penalties": {"lateFail": 0.5}, "report": {"fields": ["free", "size", "q"]},
 		"rules": {"answerSlackUs": 20000, "askWithinUs": 1000000, "coldShare": 0.3, "rampTimeUs": 13000000,
@@ -258,7 +258,7 @@
 	want := larkrouter.Settings{Instances: 5, Rank: 2, Tick: 5 * time.Millisecond, AskDiscovery: true, AskWithin: time.Second,
 		AnswerSlack: 20 * time.Millisecond, ReleaseGuard: 300 * time.Millisecond, Retransmit: 400 * time.Millisecond,
 		ColdShare: 0.3, RampTime: 13 * time.Second, TipMultiple: 2.5, OverloadFor: 2 * time.Second, MaxAttempts: 4,
-		MayCancel: true, RetryAfter: true, MaxRetryAfter: 2 * time.Second, Mesh: true, Home: 4,
+		MayCancel: true, RetryAfter: true, MarksRedials: true, MaxRetryAfter: 2 * time.Second, Mesh: true, Home: 4,
 		ReportFields: []string{"free", "size", "q"}, LateFailPrice: 0.5,
 		Classes: []larkrouter.Class{
 			{Name: "a", Aim: 1500 * time.Millisecond, Deadline: 9 * time.Second, Worth: 2, LateShare: 0.25,
