--- a/controller.go
+++ b/controller.go
@@ -25,7 +25,6 @@
 	steadyRate  = 6 * time.Second // memory of the longer answered rate
 	steadyPart  = 0.4             // and its part: the short count alone is chance at a few a second
 	refTime     = 60 * time.Second
-	leastShare  = 0.2 // of a warm server's rate, under which a cut does not go: few were sent, not few answered
 	burstAims   = 0.3
 	minDepth    = 1.5 // W at the least: a token and the half that least-worth calls must leave
 	minGrowth   = 1.0 // and at least by one set-up a second
@@ -348,7 +347,7 @@
 	if c.set.RampTime > 0 {
 		warm = min(1, float64(c.now-s.coldAt)/float64(c.set.RampTime))
 	}
-	return max(c.ref*max(1, c.set.TipMultiple/2)*(c.set.ColdShare+(1-c.set.ColdShare)*warm), c.floor())
+	return max(c.ref*(c.set.ColdShare+(1-c.set.ColdShare)*warm), c.floor())
 }
 
 func (c *Controller) floor() float64 {
@@ -811,13 +810,13 @@
 			if math.IsInf(s.rate, 1) {
 				s.tokens = min(s.tokens, 1)
 			}
-			s.rate = max(rate*drain, leastShare*c.ref, c.floor())
+			s.rate = max(rate*drain, c.floor())
 			s.ring.cap(max(0, (s.rate-s.lambda)*t0))
 			c.log(s, "answers take %.0f ms, hold to %.1f/s", d*1000, s.rate)
 		}
 	case s.lineless && c.now-s.cutAt >= c.holdAim:
 		s.lineless, s.cutAt = false, c.now
-		s.rate = max(min(s.rate, rate), leastShare*c.ref, c.floor())
+		s.rate = max(min(s.rate, rate), c.floor())
 		s.ring.cap(max(0, (s.rate-s.lambda)*t0))
 		c.log(s, "no line free, hold to %.1f/s", s.rate)
 	default:
