--- a/controller.go
+++ b/controller.go
@@ -25,7 +25,7 @@
 	steadyRate  = 6 * time.Second // memory of the longer answered rate
 	steadyPart  = 0.4             // and its part: the short count alone is chance at a few a second
 	refTime     = 60 * time.Second
-	burstAims   = 0.15
+	burstAims   = 0.3
 	minDepth    = 1.5 // W at the least: a token and the half that least-worth calls must leave
 	minGrowth   = 1.0 // and at least by one set-up a second
 	minPerSlot  = 1.0 // "at least one" in a paper slot, for all nodes together
@@ -347,7 +347,7 @@
 	if c.set.RampTime > 0 {
 		warm = min(1, float64(c.now-s.coldAt)/float64(c.set.RampTime))
 	}
-	return max(c.ref*max(1, c.set.TipMultiple/2)*(c.set.ColdShare+(1-c.set.ColdShare)*warm), c.floor())
+	return max(c.ref*(c.set.ColdShare+(1-c.set.ColdShare)*warm), c.floor())
 }
 
 func (c *Controller) floor() float64 {
