A set-up passed by a later answered one is lost, not waiting: no pressure, sent again

Cause: some answers are lost on the way; each lost set-up aged as the oldest unanswered one, so its server counted as pressed for 3 s while it answered others in 30 ms. Ruled out: queues (reported queue 1 to 4, answers 20 to 200 ms), lines (plenty free), the list (no change). Change: a line is served in order, so what a later set-up has passed is lost: it does not count as pressure, is called off after the hold aim and sent again after the guard. Should also hold for lossy links and lost cancels. May hurt where a server answers out of order by more than a slot: a waiting set-up is then sent again once.

--- a/controller.go
+++ b/controller.go
@@ -142,6 +142,7 @@
 	attempt int
 	sent    time.Duration
 	called  bool // called off
+	passed  bool // one sent well after it was answered: it is lost, not waiting
 }
 
 type server struct {
@@ -453,11 +454,18 @@
 // delay is how long a set-up sent now would wait: the smoothed answer time, or the age of the oldest
 // unanswered one, whichever is more. The age guards against servers that stop without a word.
 func (c *Controller) delay(s *server) float64 {
-	d := s.latency
-	if len(s.out) > 0 {
-		d = max(d, (c.now - s.out[0].sent).Seconds())
+	return max(s.latency, c.waiting(s).Seconds())
+}
+
+// waiting is the age of the oldest set-up that may still wait in line at a server. A line is served
+// in order: what was passed by a later one is lost on the way and says nothing of the line.
+func (c *Controller) waiting(s *server) time.Duration {
+	for _, o := range s.out {
+		if !o.passed {
+			return c.now - o.sent
+		}
 	}
-	return d
+	return 0
 }
 
 func (c *Controller) pressed(s *server) bool { return c.delay(s) > c.holdAim.Seconds() }
@@ -628,7 +636,8 @@
 }
 
 func (c *Controller) onStanding(ev Standing) {
-	if s := c.byID[ev.Server]; s != nil && s.settle(ev.Call, ev.Attempt) {
+	if s := c.byID[ev.Server]; s != nil && s.settle(ev.Call, ev.Attempt) != nil {
+		s.pass(c.now - ev.Elapsed - c.t0)
 		s.count++
 		s.fails = 0
 		s.sample(ev.Elapsed, c.now)
@@ -646,20 +655,28 @@
 }
 
 // settle takes an attempt off the outstanding ones.
-func (s *server) settle(id uint64, attempt int) bool {
+func (s *server) settle(id uint64, attempt int) *outstanding {
 	i := slices.IndexFunc(s.out, func(o outstanding) bool { return o.call == id && o.attempt == attempt })
 	if i < 0 {
-		return false
+		return nil
 	}
+	o := s.out[i]
 	s.out = slices.Delete(s.out, i, i+1)
-	return true
+	return &o
+}
+
+// pass marks what was sent before a set-up that has been answered.
+func (s *server) pass(sent time.Duration) {
+	for i := range s.out {
+		s.out[i].passed = s.out[i].passed || s.out[i].sent < sent
+	}
 }
 
 func (c *Controller) onOver(ev AttemptOver) {
 	s, k := c.byID[ev.Server], c.calls[ev.Call]
 	if s != nil {
 		c.onReport(s, ev.Report)
-		if s.settle(ev.Call, ev.Attempt) {
+		if o := s.settle(ev.Call, ev.Attempt); o != nil && !(o.passed && ev.Outcome == TimedOut) {
 			c.judge(s, ev)
 		}
 	}
@@ -842,27 +859,35 @@
 	s.ring.shift(w)
 }
 
-// rescue calls off what waits at a silent server if another may still set it up in time.
+// rescue calls off what waits at a silent server, if another may still set it up in time, and what
+// was lost on its way, if any may.
 func (c *Controller) rescue() {
 	silence := time.Duration(silentHolds * float64(c.holdAim))
 	for _, s := range c.servers {
-		if len(s.out) == 0 || c.now-s.out[0].sent < silence || c.now-s.answered < silence {
-			continue
-		}
+		silent := c.waiting(s) >= silence && c.now-s.answered >= silence
 		for i := range s.out {
-			o := &s.out[i]
+			o, from := &s.out[i], s
+			lost := o.passed && c.now-o.sent >= c.holdAim
+			if lost {
+				from = nil
+			}
 			k := c.calls[o.call]
-			if k == nil || o.called || !c.set.MayCancel || !c.elsewhere(s, k) {
+			if !silent && !lost || k == nil || o.called || !c.set.MayCancel || !c.again(from, k) {
 				continue
 			}
 			o.called = true
 			c.act(Cancel{o.call, o.attempt})
-			c.log(s, "silent for %.1f s", (c.now - s.out[0].sent).Seconds())
+			if lost {
+				c.log(s, "a set-up is lost, later ones are answered")
+			} else {
+				c.log(s, "silent for %.1f s", c.waiting(s).Seconds())
+			}
 		}
 	}
 }
 
-func (c *Controller) elsewhere(from *server, k *call) bool {
+// again says whether a call that is called off may be set up after all, other than where it was.
+func (c *Controller) again(from *server, k *call) bool {
 	if k.class.Repeat == NonRepeatable || c.set.MaxAttempts > 0 && k.attempts >= c.set.MaxAttempts {
 		return false
 	}
