--- a/controller.go
+++ b/controller.go
@@ -76,7 +76,8 @@
 		return
 	}
 	g.depth = max(minDepth, g.rate*burstAims)
-	g.tokens = min(g.depth, g.tokens+g.rate*d.Seconds())
+	// A debt is what is repaid within a paper slot at most, or a deep cut would lock the gate.
+	g.tokens = min(g.depth, max(g.tokens, -g.rate)+g.rate*d.Seconds())
 }
 
 // ring holds the future one-slot buckets: a the tokens left in each, b the chain-borrowed ones.
@@ -409,8 +410,10 @@
 func (c *Controller) margin() time.Duration { return closeTicks * max(c.set.Tick, time.Millisecond) }
 
 // worth is what a call still earns if it is sent now.
-func (c *Controller) worth(k *call) float64 {
-	if c.now >= k.aimAt {
+func (c *Controller) worth(k *call) float64 { return c.worthAt(k, c.now) }
+
+func (c *Controller) worthAt(k *call, at time.Duration) float64 {
+	if at >= k.aimAt {
 		return k.class.Worth * k.class.LateShare
 	}
 	return k.class.Worth
@@ -476,7 +479,7 @@
 	if math.IsInf(s.rate, 1) {
 		return true
 	}
-	need, w := 1.0, c.worth(k)
+	need, w := 1.0, c.worthAt(k, c.now+time.Duration(c.delay(s)*float64(time.Second)))
 	if w >= worthier*c.mean && s.coldAt < 0 {
 		need -= overdraft
 	} else if w < lesser*c.mean {
@@ -749,6 +752,23 @@
 		return
 	}
 	s.free, s.freeAt = report[0], c.now
+	for i, name := range c.set.ReportFields {
+		if i >= len(report) || !(report[i] >= 0) || math.IsInf(report[i], 0) {
+			continue
+		}
+		wait := math.NaN()
+		switch name {
+		case "lat_ms":
+			wait = report[i] / 1000
+		case "q": // at the pace of a warm server, all nodes together
+			wait = report[i] / max(c.ref*float64(max(c.set.Instances, 1)), 1)
+		}
+		// Calls that end bring reports long after the last set-up: where no answers come, they tell
+		// that the line has emptied, so that a server held back is not held longer than its queue.
+		if c.now-s.answered > c.holdAim && wait == wait && wait < s.latency {
+			s.latency += (wait - s.latency) * latencyGain
+		}
+	}
 }
 
 func (c *Controller) onSlot() {
