Tests of the filter by hand-worked cases, of each failure found and of bad input; ask discovery once

The tests found that a list asked for was asked for again at the first slot though it had come; it is now asked again only after a failure.

--- a/controller.go
+++ b/controller.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -21,7 +22,7 @@
 	ringSlots   = 22  // S: one more than the last offset of the longest chain
 	growth      = 0.1 // a gate within aim grows a tenth in a paper slot
 	paperSlot   = time.Second
-	answerSlots = 24              // answered set-ups are counted over two aims: a node sees only a few a second
+	answerSlots = 24              // answered set-ups are counted over two aims: few come in a second
 	steadyRate  = 6 * time.Second // memory of the longer answered rate
 	steadyPart  = 0.4             // and its part: the short count alone is chance at a few a second
 	refTime     = 60 * time.Second
@@ -58,6 +59,7 @@
 	longestClose = 2 * time.Second
 	closeTicks   = 4               // ticks before the deadline by which a final answer is given
 	lineNews     = 2 * time.Second // a count of free lines is believed for so long
+	askAgain     = time.Second     // at the least, once discovery has failed
 	logEvery     = 5 * time.Second
 )
 
@@ -200,39 +202,34 @@
 	class  int
 }
 
-type turnedCall struct {
-	redialKey
-	first, until time.Duration
-}
+type turnedCall struct{ first, until time.Duration }
 
 // Controller decides for one access node. It is not safe for use by several goroutines.
 type Controller struct {
-	set       Settings
-	rng       *rand.Rand
-	now       time.Duration
-	slot      int
-	slotAt    time.Duration
-	t0        time.Duration
-	holdAim   time.Duration
-	aim       time.Duration
-	servers   []*server // by id
-	byID      map[uint32]*server
-	calls     map[uint64]*call
-	queue     []*call // the open ones in order of arrival
-	offered   float64 // new calls a second, for all servers: what could be drawn to one of them
-	mean      float64 // mean worth of a new call
-	ref       float64 // answered set-ups a second of a warm server, for a cold one's share
-	acts      []Action
-	started   bool
-	turned    map[redialKey]time.Duration // first tries of calls that did not stand
-	turnedAge []turnedCall
-	askAt     time.Duration
-	askWait   time.Duration
+	set     Settings
+	rng     *rand.Rand
+	now     time.Duration
+	slot    int
+	slotAt  time.Duration
+	t0      time.Duration
+	holdAim time.Duration
+	aim     time.Duration
+	servers []*server // by id
+	byID    map[uint32]*server
+	calls   map[uint64]*call
+	queue   []*call // the open ones in order of arrival
+	offered float64 // new calls a second, for all servers: what could be drawn to one of them
+	mean    float64 // mean worth of a new call
+	ref     float64 // answered set-ups a second of a warm server, for a cold one's share
+	acts    []Action
+	started bool
+	turned  map[redialKey]turnedCall // calls that did not stand
+	askAt   time.Duration            // when discovery is asked again after a failure
 }
 
 func newController(s Settings, seed uint64) *Controller {
 	c := &Controller{set: s, rng: rand.New(rand.NewPCG(seed, 0x6c61726b)), byID: map[uint32]*server{},
-		calls: map[uint64]*call{}, turned: map[redialKey]time.Duration{}}
+		calls: map[uint64]*call{}, turned: map[redialKey]turnedCall{}}
 	for _, cl := range s.Classes {
 		if cl.Aim > 0 && (c.aim == 0 || cl.Aim < c.aim) {
 			c.aim = cl.Aim
@@ -266,7 +263,6 @@
 		c.act(Wake{slotCookie, c.t0})
 		if c.set.AskDiscovery {
 			c.act(Subscribe{true})
-			c.askAt, c.askWait = now, paperSlot
 		}
 	}
 	c.now = max(now, c.now)
@@ -294,10 +290,7 @@
 
 func (c *Controller) onList(l ServerList) {
 	if l.Kind == ListFailed {
-		if c.set.AskDiscovery { // asked again from onSlot
-			c.askWait = min(max(2*c.askWait, paperSlot), max(c.set.AskWithin/2, paperSlot))
-			c.askAt = c.now + c.askWait
-		}
+		c.askAt = c.now + time.Duration((1+c.rng.Float64())*float64(askAgain)) // from onSlot
 		return
 	}
 	if l.Kind != ListDelta {
@@ -321,7 +314,6 @@
 				return int(int64(s.ID) - int64(id))
 			})
 			c.servers = slices.Insert(c.servers, at, s)
-			s.Started = 0
 			s.ID = in.ID
 		}
 		if in.Started > s.Started && c.now-in.Started < c.set.RampTime {
@@ -386,9 +378,9 @@
 		return c.now
 	}
 	key := redialKey{k.Key, k.Class}
-	if first, ok := c.turned[key]; ok && k.Key != 0 {
+	if old, ok := c.turned[key]; ok && k.Key != 0 {
 		delete(c.turned, key)
-		return first
+		return old.first
 	}
 	if k.DialedAgain {
 		return c.now - max(0, k.class.Deadline-k.Left)
@@ -398,12 +390,9 @@
 
 // remember keeps a call that did not stand, so that its redial is known, until its deadline.
 func (c *Controller) remember(k *call) {
-	if k == nil || k.Key == 0 {
-		return
+	if k != nil && k.Key != 0 {
+		c.turned[redialKey{k.Key, k.Class}] = turnedCall{k.first, max(k.first+k.class.Deadline, c.now)}
 	}
-	key := redialKey{k.Key, k.Class}
-	c.turned[key] = k.first
-	c.turnedAge = append(c.turnedAge, turnedCall{key, k.first, max(k.first+k.class.Deadline, c.now)})
 }
 
 // margin is kept before a deadline: a timer comes a slot late at most, an answer some ticks.
@@ -446,8 +435,9 @@
 		switch {
 		case k.class.Repeat == NonRepeatable:
 			return false
-		case k.class.Repeat == Keyed && (c.now-k.ranAt >= k.class.Window ||
-			k.class.Scope == ScopeZone && s.Zone != k.ranZone || k.class.Scope == ScopeCell && s.Number != k.ranCell):
+		case k.class.Repeat != Keyed:
+		case c.now-k.ranAt >= k.class.Window, k.class.Scope == ScopeZone && s.Zone != k.ranZone,
+			k.class.Scope == ScopeCell && s.Number != k.ranCell:
 			return false
 		}
 	}
@@ -773,7 +763,7 @@
 
 func (c *Controller) onSlot() {
 	c.act(Wake{slotCookie, c.t0})
-	if c.set.AskDiscovery && c.askWait > 0 && c.now >= c.askAt && c.askAt > 0 {
+	if c.set.AskDiscovery && c.askAt > 0 && c.now >= c.askAt {
 		c.act(Subscribe{true})
 		c.askAt = 0
 	}
@@ -795,12 +785,7 @@
 		}
 		return false
 	})
-	for len(c.turnedAge) > 0 && c.turnedAge[0].until <= c.now {
-		if old := c.turnedAge[0]; c.turned[old.redialKey] == old.first {
-			delete(c.turned, old.redialKey)
-		}
-		c.turnedAge = c.turnedAge[1:]
-	}
+	maps.DeleteFunc(c.turned, func(_ redialKey, t turnedCall) bool { return t.until <= c.now })
 	c.rescue()
 	var due []*call
 	for _, k := range c.queue {
--- /dev/null
+++ b/filter_test.go
@@ -0,0 +1,576 @@
+package larkrouter
+
+import (
+	"bytes"
+	"math"
+	"os"
+	"testing"
+	"time"
+)
+
+// TestModuleSize holds the module to the length and width that it promises its readers.
+func TestModuleSize(t *testing.T) {
+	text, err := os.ReadFile("controller.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := 0
+	for i, l := range bytes.Split(text, []byte("\n")) {
+		if len(bytes.TrimSpace(l)) > 0 {
+			lines++
+		}
+		if n := len([]rune(string(bytes.ReplaceAll(l, []byte("\t"), []byte("    "))))); n > 110 {
+			t.Errorf("line %d is %d wide", i+1, n)
+		}
+	}
+	if lines > 850 {
+		t.Errorf("%d lines that are not blank", lines)
+	}
+}
+
+// fill puts w tokens in every future bucket.
+func fill(w float64) *ring {
+	r := &ring{}
+	for i := range r.a {
+		r.a[i] = w
+	}
+	return r
+}
+
+// TestBorrowChain works the paper's Figure 7 through by hand: a token at the first offset, then with
+// that one empty at 3+6, then at 9+12, each pass raising B, then a refusal that raises nothing.
+func TestBorrowChain(t *testing.T) {
+	r := &ring{}
+	for _, i := range []int{3, 9, 21} {
+		r.a[i] = 1
+	}
+	for n, want := range []int{3, 9, 21} {
+		slot, k, ok := r.borrow(21)
+		if !ok || slot != want || k != n+1 {
+			t.Fatalf("call %d: slot %d, place %d, found %v; want slot %d, place %d", n, slot, k, ok, want, n+1)
+		}
+	}
+	if r.b[3] != 2 || r.b[9] != 1 || r.b[21] != 0 {
+		t.Errorf("B is %v", r.b)
+	}
+	before := r.b
+	if _, _, ok := r.borrow(21); ok || r.b != before {
+		t.Errorf("a call past the window: found %v, B %v", ok, r.b)
+	}
+}
+
+// TestBorrowWindow: an offset past the call's deadline is not looked at, whatever it holds.
+func TestBorrowWindow(t *testing.T) {
+	for last, want := range map[int]bool{2: false, 8: false, 9: true} {
+		r := &ring{}
+		r.a[9], r.a[21] = 1, 1
+		if _, _, ok := r.borrow(last); ok != want {
+			t.Errorf("window of %d slots: found %v", last, ok)
+		}
+	}
+}
+
+// TestBorrowFractions: a short slot holds part of a token, and a call may use those since the offset before.
+func TestBorrowFractions(t *testing.T) {
+	r := fill(0.2) // 0.6 up to slot 3, 1.2 in slots 4 to 9
+	if slot, _, ok := r.borrow(21); !ok || slot != 9 {
+		t.Fatalf("slot %d, found %v", slot, ok)
+	}
+	left := 0.0
+	for i := 4; i <= 9; i++ {
+		left += r.a[i]
+	}
+	if math.Abs(left-0.2) > 1e-9 || math.Abs(r.a[3]-0.2) > 1e-9 || r.b[3] != 1 {
+		t.Errorf("left %.2f in slots 4 to 9, %.2f in slot 3, B[3] %d", left, r.a[3], r.b[3])
+	}
+}
+
+func TestRingShift(t *testing.T) {
+	r := &ring{}
+	r.a[1], r.b[1] = 0.5, 2
+	r.shift(0.7)
+	if r.a[r.at(0)] != 0.5 || r.b[r.at(0)] != 2 {
+		t.Errorf("the next slot did not become the current one: %v %v", r.a, r.b)
+	}
+	if r.a[r.at(ringSlots-1)] != 0.7 || r.b[r.at(ringSlots-1)] != 0 {
+		t.Errorf("the new slot is not at the end: %v", r.a)
+	}
+	r.cap(0.6)
+	if r.a[r.at(ringSlots-1)] != 0.6 || r.a[r.at(0)] != 0.5 {
+		t.Errorf("capped ring: %v", r.a)
+	}
+}
+
+// bench is a controller with servers 0, 1, ... of ids 100, 101, ... at one hour on the clock.
+type bench struct {
+	t   *testing.T
+	c   *Controller
+	now time.Duration
+	id  uint64
+}
+
+func newBench(t *testing.T, set Settings, servers int) *bench {
+	t.Helper()
+	c, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, c: c, now: time.Hour}
+	var rows []ServerInfo
+	for i := range servers {
+		rows = append(rows, ready(uint32(100+i), i))
+	}
+	b.do(serverList(ListCached, rows...))
+	return b
+}
+
+func (b *bench) do(ev Event) []Action { return append([]Action(nil), b.c.Handle(b.now, ev)...) }
+
+// call hands over a call of class 0 for a destination and returns the server it is sent to, or 0.
+func (b *bench) call(dest int, change func(*Call)) (uint64, uint32) {
+	b.id++
+	ev := Call{ID: b.id, Key: b.id, Left: 3 * time.Second, Destination: dest, Circuits: 1, Via: -1}
+	if change != nil {
+		change(&ev)
+	}
+	return ev.ID, sentTo(b.do(ev), ev.ID)
+}
+
+func sentTo(acts []Action, id uint64) uint32 {
+	for _, a := range acts {
+		if s, ok := a.(Attempt); ok && s.Call == id {
+			return s.Server
+		}
+	}
+	return 0
+}
+
+func answered(acts []Action, id uint64) string {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case Refuse:
+			if a.Call == id {
+				return "refused"
+			}
+		case Abandon:
+			if a.Call == id {
+				return "abandoned"
+			}
+		}
+	}
+	return ""
+}
+
+// pass lets time go by slot by slot and collects the actions.
+func (b *bench) pass(d time.Duration) (acts []Action) {
+	for end := b.now + d; b.now < end; {
+		b.now += b.c.t0
+		acts = append(acts, b.do(Timer{slotCookie})...)
+	}
+	return acts
+}
+
+func (b *bench) stand(id uint64, server uint32, took time.Duration) {
+	b.do(Standing{Call: id, Server: server, Elapsed: took})
+}
+
+// TestGateFallsAndGrows follows a gate: unbounded, cut past the hold aim to what was answered less the
+// drain, grown by at least one a second within aim, unbounded again above the offered rate.
+func TestGateFallsAndGrows(t *testing.T) {
+	b := newBench(t, testSettings(), 1)
+	s := b.c.servers[0]
+	for range 40 { // ten a second, answered at once
+		if id, to := b.call(0, nil); to == 100 {
+			b.stand(id, 100, 50*ms)
+		}
+		b.pass(b.c.t0)
+	}
+	if !math.IsInf(s.rate, 1) {
+		t.Fatalf("within aim the rate is %v", s.rate)
+	}
+	id, _ := b.call(0, nil)
+	b.pass(2 * b.c.t0)
+	b.stand(id, 100, 900*ms)
+	b.pass(b.c.t0)
+	cut := s.rate
+	if cut >= 11 || cut < 11*minDrain*0.8 {
+		t.Fatalf("12 a second were answered; past the hold aim the rate is %.2f", cut)
+	}
+	s.latency, s.lambda = 0.01, 1e6 // within aim, far under the offered rate
+	b.pass(time.Second)
+	if grown := s.rate - cut; grown < 0.9 || grown > 2.5 {
+		t.Errorf("a second within aim adds %.2f to %.2f", grown, cut)
+	}
+	s.lambda = 0
+	b.pass(b.c.t0)
+	if !math.IsInf(s.rate, 1) {
+		t.Errorf("above the offered rate the rate is %v", s.rate)
+	}
+}
+
+// bound sets a server's gate for a test of the path behind it.
+func bound(s *server, rate, tokens float64) {
+	s.rate, s.tokens, s.lambda = rate, tokens, 1e6
+}
+
+// TestHeldThenStands: a blocked call waits for its booked slot, meets the gate there and is sent.
+func TestHeldThenStands(t *testing.T) {
+	b := newBench(t, testSettings(), 1)
+	s := b.c.servers[0]
+	bound(s, 2, 0)
+	s.ring = *fill(0.5)
+	id, to := b.call(0, nil)
+	if to != 0 || b.c.calls[id] == nil || !b.c.calls[id].held {
+		t.Fatalf("not held: sent to %d", to)
+	}
+	s.tokens = 1.2
+	if acts := b.pass(2 * b.c.t0); sentTo(acts, id) != 0 {
+		t.Error("sent before its slot")
+	}
+	if acts := b.pass(b.c.t0); sentTo(acts, id) != 100 {
+		t.Error("not sent at its slot")
+	}
+}
+
+// TestChainBorrowedWaitUnborrowed: B[0] blocked calls wait for their chain's next offset and take no token.
+func TestChainBorrowedWaitUnborrowed(t *testing.T) {
+	b := newBench(t, testSettings(), 1)
+	s := b.c.servers[0]
+	bound(s, 2, -5)
+	s.ring = *fill(0.5)
+	s.b[s.head] = 1
+	before := s.a
+	first, _ := b.call(0, nil)
+	if k := b.c.calls[first]; k == nil || k.due != b.c.slot+firstOffset || s.a != before || s.b[s.head] != 0 {
+		t.Fatalf("the first blocked call borrowed or does not wait: %+v", k)
+	}
+	b.call(0, nil)
+	if s.a == before {
+		t.Error("the second one did not borrow")
+	}
+}
+
+// TestRefusedAtOnce: with no token in the window a call is refused on arrival and counts nowhere.
+func TestRefusedAtOnce(t *testing.T) {
+	b := newBench(t, testSettings(), 1)
+	s := b.c.servers[0]
+	bound(s, 2, -5)
+	b.id++
+	acts := b.do(Call{ID: b.id, Left: 3 * time.Second, Circuits: 1})
+	if answered(acts, b.id) != "refused" || s.b != [ringSlots]int{} {
+		t.Errorf("%v, B %v", acts, s.b)
+	}
+}
+
+// TestRoute: the destination within aim, another past it, and a slow return.
+func TestRoute(t *testing.T) {
+	b := newBench(t, testSettings(), 3)
+	if _, to := b.call(1, nil); to != 101 {
+		t.Errorf("sent to %d though the destination is within aim", to)
+	}
+	b.c.servers[1].latency = 2
+	for range 20 {
+		if _, to := b.call(1, nil); to == 101 || to == 0 {
+			t.Fatalf("sent to %d though the destination is past its aim", to)
+		}
+	}
+	for _, s := range b.c.servers {
+		s.latency, s.out = 0.01, nil
+	}
+	b.c.servers[1].trust = 0.5
+	n := 0
+	for range 200 {
+		if _, to := b.call(1, nil); to == 101 {
+			n++
+		}
+	}
+	if n < 60 || n > 140 {
+		t.Errorf("a half-trusted destination got %d of 200 calls", n)
+	}
+}
+
+// TestScarceTokenGoesToWorth: a worthier call passes a gate that holds others, and takes their booking.
+func TestScarceTokenGoesToWorth(t *testing.T) {
+	b := newBench(t, testSettings(), 1)
+	s := b.c.servers[0]
+	b.c.mean = 1.5
+	bound(s, 2, 0.2)
+	s.latency = 0.1
+	if _, to := b.call(0, nil); to != 0 {
+		t.Error("a call worth 1 passed an empty gate")
+	}
+	if _, to := b.call(0, func(c *Call) { c.Class = 1 }); to != 100 {
+		t.Error("a call worth 8 did not overdraw")
+	}
+	s.tokens = -5
+	s.ring = ring{}
+	for i := range s.a { // one booking, for a call worth 1
+		s.a[i] = 0
+	}
+	s.a[s.at(3)] = 1
+	low, _ := b.call(0, nil)
+	b.id++
+	acts := b.do(Call{ID: b.id, Class: 1, Left: 3 * time.Second, Circuits: 1})
+	if answered(acts, low) != "refused" || answered(acts, b.id) != "" {
+		t.Errorf("the worthier call did not take the booking: %v", acts)
+	}
+}
+
+// TestFailures: symptoms seen on rough days, each with what the controller must do about it.
+func TestFailures(t *testing.T) {
+	t.Run("a silent server is left and its calls go elsewhere after the guard", func(t *testing.T) {
+		b := newBench(t, testSettings(), 2)
+		id, _ := b.call(0, nil)
+		acts := b.pass(1200 * ms)
+		cancelled := false
+		for _, a := range acts {
+			cancelled = cancelled || a == Action(Cancel{id, 0})
+		}
+		if !cancelled {
+			t.Fatal("the attempt was not called off")
+		}
+		b.do(AttemptOver{Call: id, Outcome: Cancelled, Server: 100})
+		if acts := b.pass(400 * ms); sentTo(acts, id) != 0 {
+			t.Error("sent again within the guard")
+		}
+		if acts := b.pass(300 * ms); sentTo(acts, id) != 101 {
+			t.Error("not sent elsewhere after the guard")
+		}
+	})
+	t.Run("a set-up passed by later answers is lost and no pressure", func(t *testing.T) {
+		b := newBench(t, testSettings(), 1)
+		lost, _ := b.call(0, nil)
+		var acts []Action
+		for range 8 {
+			acts = append(acts, b.pass(b.c.t0)...)
+			id, to := b.call(0, nil)
+			if to != 100 {
+				t.Fatalf("a call was held or refused %v after the lost one", b.now-time.Hour)
+			}
+			b.stand(id, 100, 30*ms)
+		}
+		cancelled := false
+		for _, a := range acts {
+			cancelled = cancelled || a == Action(Cancel{lost, 0})
+		}
+		if !cancelled {
+			t.Error("the lost one was not called off")
+		}
+	})
+	t.Run("a spilled load does not free a gate of few own calls", func(t *testing.T) {
+		b := newBench(t, testSettings(), 2)
+		own, other := b.c.servers[0], b.c.servers[1]
+		own.rate, own.lambda, own.latency = 2, 0, 0.01
+		other.lambda = 50
+		b.pass(b.c.t0)
+		if math.IsInf(own.rate, 1) {
+			t.Error("freed though 50 calls a second could be drawn to it")
+		}
+	})
+	t.Run("a server that fails fast is closed and tried again", func(t *testing.T) {
+		b := newBench(t, testSettings(), 1)
+		s := b.c.servers[0]
+		for range failsToShut {
+			id, _ := b.call(0, func(c *Call) { c.Left = 200 * ms })
+			b.do(AttemptOver{Call: id, Outcome: Failed, Server: 100, Ended: true})
+		}
+		if _, to := b.call(0, nil); to != 0 || !s.trial {
+			t.Fatalf("sent to %d after %d failures", to, failsToShut)
+		}
+		held := b.id
+		if acts := b.pass(3 * time.Second); sentTo(acts, held) != 100 {
+			t.Fatal("not tried again with the call that was held")
+		}
+		if _, to := b.call(0, nil); to != 0 {
+			t.Error("two at a time on trial")
+		}
+		b.stand(held, 100, 30*ms)
+		if s.trial {
+			t.Error("still on trial after a call stood")
+		}
+	})
+	t.Run("a server without a line gets nothing until news", func(t *testing.T) {
+		b := newBench(t, testSettings(), 1)
+		id, _ := b.call(0, nil)
+		acts := b.do(AttemptOver{Call: id, Outcome: TurnedAway, Server: 100})
+		if sentTo(acts, id) != 0 {
+			t.Error("sent back to a server without a line")
+		}
+		if b.c.servers[0].latency > b.c.holdAim.Seconds() {
+			t.Error("a want of lines counts as a queue")
+		}
+		b.do(Probed{Server: 100, OK: true, Report: []float64{4, 50, -1}})
+		if _, to := b.call(0, nil); to != 100 {
+			t.Error("nothing sent once lines were told free")
+		}
+		b.do(Probed{Server: 100, OK: true, Report: []float64{0, 50, -1}})
+		if _, to := b.call(0, nil); to != 0 {
+			t.Error("sent though no line is free")
+		}
+		if acts := b.pass(lineNews - 200*ms); sentTo(acts, id) != 0 {
+			t.Error("sent before the news grew old")
+		}
+		if acts := b.pass(time.Second); sentTo(acts, id) != 100 {
+			t.Error("old news of lines lock a server out")
+		}
+	})
+	t.Run("an unmarked redial keeps the aim of its first try", func(t *testing.T) {
+		b := newBench(t, testSettings(), 1)
+		s := b.c.servers[0]
+		bound(s, 2, -5)
+		first := b.now
+		b.call(0, func(c *Call) { c.Key = 77 })
+		b.now += 700 * ms
+		s.rate = unbounded
+		id, _ := b.call(0, func(c *Call) { c.Key = 77 })
+		if got := b.c.calls[id].aimAt - first; got != 1200*ms {
+			t.Errorf("the redial's aim ends %v after the first try", got)
+		}
+		id, _ = b.call(0, func(c *Call) { c.Key = 77 })
+		if b.c.calls[id].first != b.now {
+			t.Error("one refusal marked two calls as redials")
+		}
+		b.pass(10 * time.Second)
+		if len(b.c.turned) > 0 {
+			t.Error("refused calls are remembered past their deadline")
+		}
+	})
+	t.Run("a debt does not lock a gate", func(t *testing.T) {
+		g := gate{tokens: -2, rate: 0.2}
+		g.refill(time.Second)
+		if g.tokens < -1e-9 {
+			t.Errorf("%.2f tokens a second after a deep cut", g.tokens)
+		}
+	})
+	t.Run("a report of an empty line ends old pressure", func(t *testing.T) {
+		b := newBench(t, testSettings(), 1)
+		s := b.c.servers[0]
+		s.latency, s.answered = 3, b.now
+		b.now += 600 * ms
+		for range 5 {
+			b.do(AttemptOver{Call: 999, Outcome: Completed, Server: 100, Report: []float64{9, 9, 4}})
+		}
+		if s.latency > b.c.holdAim.Seconds() {
+			t.Errorf("still held to answer in %.2f s", s.latency)
+		}
+	})
+	t.Run("a cold server gets its share", func(t *testing.T) {
+		b := newBench(t, testSettings(), 1)
+		b.c.ref = 8
+		b.do(serverList(ListDelta, ServerInfo{ID: 100, Phase: Ready, Started: b.now}))
+		if r := b.c.servers[0].rate; math.Abs(r-2.4) > 0.01 {
+			t.Errorf("a server just started is held to %.2f/s, 30%% of 8 are 2.4", r)
+		}
+		b.pass(13 * time.Second)
+		if b.c.servers[0].coldAt >= 0 {
+			t.Error("still cold after the ramp")
+		}
+	})
+}
+
+// TestBadInput: what makes no sense is ignored, and what is owed is still answered.
+func TestBadInput(t *testing.T) {
+	nan, inf := math.NaN(), math.Inf(1)
+	b := newBench(t, testSettings(), 1)
+	for _, ev := range []Event{
+		AttemptOver{Call: 12345, Outcome: Reset, Server: 100}, Standing{Call: 12345, Server: 100}, CallGone{12345},
+		Timer{99}, Timer{slotCookie}, AttemptOver{Call: 1, Server: 555}, Standing{Call: 1, Server: 555},
+		Probed{Server: 555}, Probed{Server: 100, Report: []float64{nan, nan, nan}},
+		Probed{Server: 100, Report: []float64{-1, -1, -1}}, Probed{Server: 100, Report: []float64{inf, inf, inf}},
+		Probed{Server: 100, Report: []float64{1}}, Probed{Server: 100, Report: nil},
+		PeerMessage{From: 3, Data: []byte{0xff}}, PeerMessage{}, ServerList{Kind: ListFailed},
+	} {
+		b.do(ev)
+		if lat := b.c.servers[0].latency; lat != lat || math.IsInf(lat, 0) {
+			t.Errorf("%+v makes the answer time %v", ev, lat)
+		}
+	}
+	if _, to := b.call(0, nil); to != 100 {
+		t.Errorf("after events that make no sense a call goes to %d", to)
+	}
+	if _, to := b.call(0, func(c *Call) { c.Class = 99 }); to != 100 {
+		t.Error("a call of an unknown class is not sent")
+	}
+
+	none := newBench(t, testSettings(), 0)
+	id, _ := none.call(0, nil)
+	if acts := none.pass(1500 * ms); answered(acts, id) != "" {
+		t.Error("refused though a server may still come")
+	}
+	acts := none.pass(1450 * ms)
+	if answered(acts, id) != "refused" {
+		t.Error("no answer before the deadline with no server at all")
+	}
+
+	empty := newBench(t, Settings{}, 1)
+	if _, to := empty.call(0, nil); to != 100 {
+		t.Error("with empty settings a call is not sent")
+	}
+
+	for name, s := range map[string]Settings{
+		"negative tick": {Tick: -1}, "negative instances": {Instances: -1}, "cold share": {ColdShare: 2},
+		"cold share NaN": {ColdShare: nan}, "aim": {Classes: []Class{{Aim: -1}}}, "worth": {Classes: []Class{{Worth: nan}}},
+	} {
+		if _, err := New(s, 1); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
+
+// TestDiscoveryAsked: where the list must be asked for it is, again after a failure, and not in a flood.
+func TestDiscoveryAsked(t *testing.T) {
+	set := testSettings()
+	set.AskDiscovery, set.AskWithin = true, 10*time.Second
+	c, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, c: c, now: time.Hour}
+	asks := func(acts []Action) (n int) {
+		for _, a := range acts {
+			if a == Action(Subscribe{true}) {
+				n++
+			}
+		}
+		return n
+	}
+	if asks(b.do(serverList(ListCached))) != 1 {
+		t.Fatal("not asked at the start")
+	}
+	b.do(serverList(ListFull))
+	if n := asks(b.pass(5 * time.Second)); n != 0 {
+		t.Errorf("asked %d times again though subscribed", n)
+	}
+	b.do(ServerList{Kind: ListFailed})
+	if n := asks(b.pass(5 * time.Second)); n != 1 {
+		t.Errorf("asked %d times after a failure", n)
+	}
+}
+
+// TestTransitAndMesh: a call in transit goes to its destination or is refused; no call goes home.
+func TestTransitAndMesh(t *testing.T) {
+	set := testSettings()
+	set.Mesh, set.Home = true, 2
+	b := newBench(t, set, 3)
+	b.c.servers[0].latency = 9
+	for range 20 {
+		if _, to := b.call(0, func(c *Call) { c.InTransit = true }); to != 100 && to != 0 {
+			t.Errorf("a call in transit goes to %d", to)
+		}
+		if _, to := b.call(2, nil); to == 102 {
+			t.Error("a call goes to the own exchange")
+		}
+	}
+}
+
+// TestPools: a call goes to no pool without its skill.
+func TestPools(t *testing.T) {
+	set := testSettings()
+	set.Classes[0].Pools = []int{1}
+	b := newBench(t, set, 3)
+	for range 5 {
+		if _, to := b.call(0, nil); to != 101 {
+			t.Errorf("sent to %d", to)
+		}
+	}
+}
