A window on unanswered set-ups: a wave passes an open gate before answers tell

Cause: gates were unbounded, one node sent 37 set-ups to one server before the first late answer. Ruled out: a slow server (answers 30 ms before and after), lost answers, the list. Change: no more unanswered set-ups at a server than a warm one answers in half an aim, three at least. Should also hold for bursts, stalls and dead servers. May hurt on long ways, where many are unanswered without a queue.

--- a/controller.go
+++ b/controller.go
@@ -43,6 +43,12 @@
 	recoverAims     = 3.0 // aims over which the destination regains its calls
 )
 
+// Unanswered set-ups that a gate lets stand, whatever its tokens.
+const (
+	leastOut = 3.0
+	outAims  = 0.5 // aims in which a warm server would answer them
+)
+
 // Worth: who gets a scarce token.
 const (
 	worthier  = 1.5 // times the mean worth from which a call may overdraw the bucket
@@ -466,6 +472,11 @@
 // admits says whether the gate lets the call pass. A call worth much more than the mean may overdraw
 // the bucket, one worth much less leaves a part: what is scarce goes to the call worth more.
 func (c *Controller) admits(s *server, k *call) bool {
+	// Answers tell of a queue only once it stands: a wave of calls through an open gate is over by
+	// then. So no more go unanswered than a warm server answers within a part of the aim.
+	if float64(len(s.out)) >= max(leastOut, c.ref*c.aim.Seconds()*outAims) {
+		return false
+	}
 	if math.IsInf(s.rate, 1) {
 		return true
 	}
