--- a/controller.go
+++ b/controller.go
@@ -45,8 +45,8 @@
 
 // Unanswered set-ups that a gate lets stand, whatever its tokens.
 const (
-	leastOut = 3.0
-	outAims  = 0.5 // aims in which a warm server would answer them
+	leastOut = 2.0
+	outAims  = 0.35 // aims in which a warm server would answer them
 )
 
 // Worth: who gets a scarce token.
@@ -467,6 +467,15 @@
 	return 0
 }
 
+func (s *server) unanswered() (n float64) {
+	for _, o := range s.out {
+		if !o.passed {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *Controller) pressed(s *server) bool { return c.delay(s) > c.holdAim.Seconds() }
 
 // admits says whether the gate lets the call pass. A call worth much more than the mean may overdraw
@@ -474,7 +483,7 @@
 func (c *Controller) admits(s *server, k *call) bool {
 	// Answers tell of a queue only once it stands: a wave of calls through an open gate is over by
 	// then. So no more go unanswered than a warm server answers within a part of the aim.
-	if float64(len(s.out)) >= max(leastOut, c.ref*c.aim.Seconds()*outAims) {
+	if s.unanswered() >= max(leastOut, c.ref*c.aim.Seconds()*outAims) {
 		return false
 	}
 	if math.IsInf(s.rate, 1) {
