--- a/filter_test.go
+++ b/filter_test.go
@@ -454,6 +454,18 @@
 			t.Errorf("still held to answer in %.2f s", s.latency)
 		}
 	})
+	t.Run("a wave does not pass an open gate before answers tell", func(t *testing.T) {
+		b := newBench(t, testSettings(), 1)
+		sent := 0
+		for range 40 {
+			if _, to := b.call(0, nil); to == 100 {
+				sent++
+			}
+		}
+		if sent != int(leastOut) {
+			t.Errorf("%d set-ups out at once at a server not yet known", sent)
+		}
+	})
 	t.Run("a cold server gets its share", func(t *testing.T) {
 		b := newBench(t, testSettings(), 1)
 		b.c.ref = 8
@@ -569,8 +581,10 @@
 	set.Classes[0].Pools = []int{1}
 	b := newBench(t, set, 3)
 	for range 5 {
-		if _, to := b.call(0, nil); to != 101 {
+		id, to := b.call(0, nil)
+		if to != 101 {
 			t.Errorf("sent to %d", to)
 		}
+		b.stand(id, 101, 30*ms)
 	}
 }
