--- a/controller.go
+++ b/controller.go
@@ -66,7 +66,6 @@
 	closeTicks   = 4               // ticks before the deadline by which a final answer is given
 	lineNews     = 2 * time.Second // a count of free lines is believed for so long
 	askAgain     = time.Second     // at the least, once discovery has failed
-	coldUse      = 0.75            // of the multiple that would push a cold server over
 	logEvery     = 5 * time.Second
 )
 
@@ -348,7 +347,7 @@
 	if c.set.RampTime > 0 {
 		warm = min(1, float64(c.now-s.coldAt)/float64(c.set.RampTime))
 	}
-	return max(c.ref*max(1, coldUse*c.set.TipMultiple)*(c.set.ColdShare+(1-c.set.ColdShare)*warm), c.floor())
+	return max(c.ref*(c.set.ColdShare+(1-c.set.ColdShare)*warm), c.floor())
 }
 
 func (c *Controller) floor() float64 {
