Cold servers: a budget from their own best and one unanswered set-up a node

Cause: servers differ much in capacity; the cold budget was taken from the largest one's answered rate, and a window of two unanswered set-ups at each of 13 nodes let 26 out at once. Ruled out: nodes that did not know of the start (list at 31.4 s, break at 32.4 s). Change: the reference is the server's own best while warm where it is known, gone servers are remembered for a minute, and a cold server has one unanswered set-up a node, so that its answers set the pace. Should also hold for servers slowed while they warm. May hurt a large server whose traffic was small before its restart: it warms on a small budget.

--- a/controller.go
+++ b/controller.go
@@ -66,6 +66,7 @@
 	closeTicks   = 4               // ticks before the deadline by which a final answer is given
 	lineNews     = 2 * time.Second // a count of free lines is believed for so long
 	askAgain     = time.Second     // at the least, once discovery has failed
+	keepGone     = time.Minute     // a server that is gone is remembered, should it restart
 	logEvery     = 5 * time.Second
 )
 
@@ -110,19 +111,12 @@
 	}
 }
 
-func nextOffset(i, k int) int {
-	if k == 0 {
-		return firstOffset
-	}
-	return i + firstOffset<<k
-}
-
 // borrow books a token for a call blocked now and returns its slot and its place in the chain.
 // A short slot holds a part of a token, so a slot's bucket is read with those since the offset before.
 func (r *ring) borrow(last int) (slot, k int, ok bool) {
 	prev := 0
 	var passed []int
-	for i, k := firstOffset, 1; k <= chainLength && i <= last; i, k = nextOffset(i, k), k+1 {
+	for i, k := firstOffset, 1; k <= chainLength && i <= last; i, k = i+firstOffset<<k, k+1 {
 		sum := 0.0
 		for j := prev + 1; j <= i; j++ {
 			sum += r.a[r.at(j)]
@@ -173,6 +167,8 @@
 	closedUntil time.Duration
 	closeFor    time.Duration
 	trial       bool    // failed last: one attempt at a time until one stands
+	best        float64 // most answered set-ups a second while warm
+	goneAt      time.Duration
 	fails       int     // attempts turned away in a row
 	free        float64 // lines or circuits free
 	freeAt      time.Duration
@@ -341,13 +337,17 @@
 }
 
 // coldRate is this node's share of what a warming server can do. Nobody is told its capacity: the
-// best that a warm server was seen to answer stands for it, and no multiple of it is used up.
+// best that it was seen to answer stands for it, since servers differ much, and for one never seen
+// warm the best of any. No multiple of it is used up.
 func (c *Controller) coldRate(s *server) float64 {
-	warm := 1.0
+	warm, ref := 1.0, c.ref
+	if s.best > 0 {
+		ref = min(ref, s.best)
+	}
 	if c.set.RampTime > 0 {
 		warm = min(1, float64(c.now-s.coldAt)/float64(c.set.RampTime))
 	}
-	return max(c.ref*(c.set.ColdShare+(1-c.set.ColdShare)*warm), c.floor())
+	return max(ref*(c.set.ColdShare+(1-c.set.ColdShare)*warm), c.floor())
 }
 
 func (c *Controller) floor() float64 {
@@ -453,27 +453,19 @@
 // delay is how long a set-up sent now would wait: the smoothed answer time, or the age of the oldest
 // unanswered one, whichever is more. The age guards against servers that stop without a word.
 func (c *Controller) delay(s *server) float64 {
-	return max(s.latency, c.waiting(s).Seconds())
+	oldest, _ := c.waiting(s)
+	return max(s.latency, oldest.Seconds())
 }
 
 // waiting is the age of the oldest set-up that may still wait in line at a server. A line is served
 // in order: what was passed by a later one is lost on the way and says nothing of the line.
-func (c *Controller) waiting(s *server) time.Duration {
-	for _, o := range s.out {
-		if !o.passed {
-			return c.now - o.sent
-		}
-	}
-	return 0
-}
-
-func (s *server) unanswered() (n float64) {
+func (c *Controller) waiting(s *server) (oldest time.Duration, n float64) {
 	for _, o := range s.out {
 		if !o.passed {
-			n++
+			oldest, n = max(oldest, c.now-o.sent), n+1
 		}
 	}
-	return n
+	return oldest, n
 }
 
 func (c *Controller) pressed(s *server) bool { return c.delay(s) > c.holdAim.Seconds() }
@@ -483,7 +475,9 @@
 func (c *Controller) admits(s *server, k *call) bool {
 	// Answers tell of a queue only once it stands: a wave of calls through an open gate is over by
 	// then. So no more go unanswered than a warm server answers within a part of the aim.
-	if s.unanswered() >= max(leastOut, c.ref*c.aim.Seconds()*outAims) {
+	// At a cold server it is one, so that the answers themselves set the pace, whatever its capacity.
+	_, n := c.waiting(s)
+	if n >= max(leastOut, c.ref*c.aim.Seconds()*outAims) || n > 0 && s.coldAt >= 0 {
 		return false
 	}
 	if math.IsInf(s.rate, 1) {
@@ -562,11 +556,7 @@
 }
 
 func (c *Controller) block(k *call) {
-	last := int((k.deadline - c.now) / c.t0)
-	next := nextOffset(0, k.chain)
-	if k.chain > 0 {
-		next = firstOffset << k.chain
-	}
+	last, next := int((k.deadline-c.now)/c.t0), firstOffset<<k.chain
 	s := c.ringFor(k)
 	switch {
 	case s == nil: // no server in sight: held while there is hope
@@ -654,10 +644,7 @@
 		s.count++
 		s.fails = 0
 		s.sample(ev.Elapsed, c.now)
-		if s.trial {
-			s.trial, s.closeFor = false, 0
-			c.log(s, "answers again")
-		}
+		s.trial, s.closeFor = false, 0
 	}
 	c.forget(c.calls[ev.Call])
 }
@@ -799,7 +786,9 @@
 		}
 	}
 	c.servers = slices.DeleteFunc(c.servers, func(s *server) bool {
-		if s.Phase == Gone && len(s.out) == 0 {
+		if s.Phase != Gone {
+			s.goneAt = c.now
+		} else if c.now-s.goneAt > keepGone && len(s.out) == 0 {
 			delete(c.byID, s.ID)
 			return true
 		}
@@ -877,6 +866,7 @@
 			s.rate = min(s.rate, c.coldRate(s))
 		}
 	} else {
+		s.best = max(s.best*(1-t0/refTime.Seconds()), rate)
 		c.ref = max(c.ref*(1-t0/refTime.Seconds()), rate)
 	}
 	s.refill(c.t0)
@@ -889,7 +879,8 @@
 func (c *Controller) rescue() {
 	silence := time.Duration(silentHolds * float64(c.holdAim))
 	for _, s := range c.servers {
-		silent := c.waiting(s) >= silence && c.now-s.answered >= silence
+		oldest, _ := c.waiting(s)
+		silent := oldest >= silence && c.now-s.answered >= silence
 		for i := range s.out {
 			o, from := &s.out[i], s
 			lost := o.passed && c.now-o.sent >= c.holdAim
@@ -902,11 +893,7 @@
 			}
 			o.called = true
 			c.act(Cancel{o.call, o.attempt})
-			if lost {
-				c.log(s, "a set-up is lost, later ones are answered")
-			} else {
-				c.log(s, "silent for %.1f s", c.waiting(s).Seconds())
-			}
+			c.log(s, "silent for %.1f s, or a set-up is lost: called off", (c.now - o.sent).Seconds())
 		}
 	}
 }
