--- a/controller.go
+++ b/controller.go
@@ -26,7 +26,6 @@
 	steadyRate  = 6 * time.Second // memory of the longer answered rate
 	steadyPart  = 0.4             // and its part: the short count alone is chance at a few a second
 	refTime     = 60 * time.Second
-	cutSlots    = 3 // slots past the hold aim before a cut: a stall that is over by then fills no queue
 	burstAims   = 0.3
 	minDepth    = 1.5 // W at the least: a token and the half that least-worth calls must leave
 	minGrowth   = 1.0 // and at least by one set-up a second
@@ -169,7 +168,6 @@
 	closeFor    time.Duration
 	trial       bool    // failed last: one attempt at a time until one stands
 	best        float64 // most answered set-ups a second while warm
-	late        int     // slots in a row past the hold aim
 	goneAt      time.Duration
 	fails       int     // attempts turned away in a row
 	free        float64 // lines or circuits free
@@ -835,9 +833,6 @@
 	}
 	d, hold := c.delay(s), c.holdAim.Seconds()
 	switch {
-	case d > hold && s.late < cutSlots:
-		s.late++
-		s.trust = 0
 	case d > hold:
 		s.trust = 0
 		if wait := time.Duration(max(d, hold) * float64(time.Second)); c.now-s.cutAt >= wait {
@@ -856,7 +851,6 @@
 		s.ring.cap(max(0, (s.rate-s.lambda)*t0))
 		c.log(s, "no line free, hold to %.1f/s", s.rate)
 	default:
-		s.late = 0
 		s.trust = min(1, s.trust+t0/(recoverAims*c.aim.Seconds()))
 		if !math.IsInf(s.rate, 1) {
 			s.rate += max(growth*s.rate, minGrowth) * t0 / paperSlot.Seconds()
