--- a/controller.go
+++ b/controller.go
@@ -576,31 +576,11 @@
 			return
 		}
 	}
-	if !c.oust(k, last) {
-		c.finish(k)
-	}
+	c.finish(k)
 }
 
 func (c *Controller) hold(k *call, slots int) { k.held, k.due = true, c.slot+slots }
 
-// oust gives a call worth more the booked slot of a held one worth less, which is refused.
-func (c *Controller) oust(k *call, last int) bool {
-	var victim *call
-	for _, h := range c.queue {
-		if h.held && !h.ended && h.due <= c.slot+last && c.worth(h)*worthier <= c.worth(k) && !h.ran &&
-			(victim == nil || c.worth(h) < c.worth(victim)) {
-			victim = h
-		}
-	}
-	if victim == nil {
-		return false
-	}
-	k.chain = victim.chain
-	c.hold(k, max(victim.due-c.slot, 1))
-	c.finish(victim)
-	return true
-}
-
 func (c *Controller) send(s *server, k *call) {
 	timeout := k.deadline - c.now
 	if timeout <= 0 {
