--- a/controller.go
+++ b/controller.go
@@ -6,6 +6,7 @@
 package larkrouter
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -784,7 +785,7 @@
 			due = append(due, k)
 		}
 	}
-	slices.SortStableFunc(due, func(a, b *call) int { return int(math.Copysign(1, c.worth(b)-c.worth(a))) })
+	slices.SortStableFunc(due, func(a, b *call) int { return cmp.Compare(c.worth(b), c.worth(a)) })
 	for _, k := range due {
 		if !k.ended && k.held {
 			c.place(k)
