A cut set-up or one failed connect is no restart

Cause: a few set-ups were cut each second; each was read as an outage and put its server on a cold budget for the ramp time, again and again. Ruled out: real starts (none in the list), failing connects (4, before 0:05), queues (answers fast once sent). Change: an outage is two failed connects or four cuts in a row. Should also hold for flapping links. May hurt when a server restarts unseen: it meets the window of two unanswered set-ups until its answers tell.

--- a/controller.go
+++ b/controller.go
@@ -696,7 +696,7 @@
 // judge reads an outcome as a symptom of its server.
 func (c *Controller) judge(s *server, ev AttemptOver) {
 	switch ev.Outcome {
-	case TurnedAway, Failed: // no room, or a fault; answered fast, either would draw calls
+	case TurnedAway, Failed, Reset: // no room, or a fault; answered fast, either would draw calls
 		if ev.Full { // lines or agents all taken say nothing of the processor
 			s.sample(max(ev.Elapsed, ev.Wait, 2*c.aim), c.now)
 		}
@@ -704,10 +704,11 @@
 			s.free, s.freeAt, s.lineless = 0, c.now, true
 		}
 		if s.fails++; s.fails >= failsToShut {
-			c.shut(s, "set-ups refused or faulty", false)
+			c.shut(s, "set-ups refused or faulty", ev.Outcome == Reset)
 		}
-	case NoConnection, Reset: // down, or up again since: not to be met with full force
-		c.shut(s, "set-ups fail", true)
+	case NoConnection: // once may be the way there; again it is down, or up again since, and cold
+		s.fails++
+		c.shut(s, "set-ups fail", s.fails > 1)
 	case TimedOut:
 		s.latency = max(s.latency, ev.Elapsed.Seconds())
 	}
--- a/filter_test.go
+++ b/filter_test.go
@@ -487,6 +487,29 @@
 			t.Error("a gate of a quarter a second was overdrawn by a whole token")
 		}
 	})
+	t.Run("cut set-ups among standing ones are no restart", func(t *testing.T) {
+		b := newBench(t, testSettings(), 1)
+		s := b.c.servers[0]
+		for range 5 {
+			id, to := b.call(0, nil)
+			if to != 100 {
+				t.Fatal("closed after a single cut")
+			}
+			b.do(AttemptOver{Call: id, Outcome: Reset, Server: 100, Ended: true})
+			id, _ = b.call(0, nil)
+			b.stand(id, 100, 30*ms)
+		}
+		if s.coldAt >= 0 {
+			t.Error("held to a cold server's budget")
+		}
+		for range failsToShut {
+			id, _ := b.call(0, nil)
+			b.do(AttemptOver{Call: id, Outcome: Reset, Server: 100, Ended: true})
+		}
+		if s.coldAt < 0 || !s.trial {
+			t.Error("cuts in a row are not taken for an outage")
+		}
+	})
 	t.Run("a cold server gets its share", func(t *testing.T) {
 		b := newBench(t, testSettings(), 1)
 		b.c.ref = 8
