--- a/controller.go
+++ b/controller.go
@@ -173,7 +173,7 @@
 	fails       int     // attempts turned away in a row
 	free        float64 // lines or circuits free
 	freeAt      time.Duration
-	lineless    bool // turned a set-up away for want of a line since the last cut
+	lineless    bool // turned a set-up away, though not for a queue, since the last cut
 	loggedAt    time.Duration
 }
 
@@ -697,7 +697,10 @@
 func (c *Controller) judge(s *server, ev AttemptOver) {
 	switch ev.Outcome {
 	case TurnedAway, Failed, Reset: // no room, or a fault; answered fast, either would draw calls
-		if ev.Full { // lines or agents all taken say nothing of the processor
+		// Beside fast answers it is no long queue either, but more than the server takes.
+		if ev.Full && !c.pressed(s) && c.now-s.answered < c.aim {
+			s.lineless = true
+		} else if ev.Full { // lines or agents all taken say nothing of the processor
 			s.sample(max(ev.Elapsed, ev.Wait, 2*c.aim), c.now)
 		}
 		if ev.Outcome == TurnedAway && !ev.Full {
@@ -831,7 +834,7 @@
 		s.lineless, s.cutAt = false, c.now
 		s.rate = max(min(s.rate, rate), c.floor())
 		s.ring.cap(max(0, (s.rate-s.lambda)*t0))
-		c.log(s, "no line free, hold to %.1f/s", s.rate)
+		c.log(s, "no line free or more than it takes, hold to %.1f/s", s.rate)
 	default:
 		s.trust = min(1, s.trust+t0/(recoverAims*c.aim.Seconds()))
 		if !math.IsInf(s.rate, 1) {
--- a/filter_test.go
+++ b/filter_test.go
@@ -510,6 +510,25 @@
 			t.Error("cuts in a row are not taken for an outage")
 		}
 	})
+	t.Run("full beside fast answers is no queue of two aims", func(t *testing.T) {
+		b := newBench(t, testSettings(), 1)
+		s := b.c.servers[0]
+		full := func() {
+			id, _ := b.call(0, nil)
+			b.do(AttemptOver{Call: id, Outcome: TurnedAway, Full: true, Server: 100, Ended: true})
+		}
+		id, _ := b.call(0, nil)
+		b.stand(id, 100, 30*ms)
+		full()
+		if b.c.pressed(s) || !s.lineless {
+			t.Errorf("answer time %.2f s beside answers of 30 ms", s.latency)
+		}
+		b.now += 2 * b.c.aim
+		full()
+		if !b.c.pressed(s) {
+			t.Error("full without answers counts as no queue")
+		}
+	})
 	t.Run("a cold server gets its share", func(t *testing.T) {
 		b := newBench(t, testSettings(), 1)
 		b.c.ref = 8
