Failures turn the route first; a server is closed only after twelve in a row

Now two failures in a row make the route prefer others, weighted down by failures, and twelve close it. Should also hold for servers that drop set-ups by chance. May hurt where a server fails fast for good: a dozen calls per node spend an attempt there.

--- a/controller.go
+++ b/controller.go
@@ -61,7 +61,7 @@
 // Health and ends.
 const (
 	silentHolds  = 3.0 // hold aims without any answer until a server counts as silent
-	failsToShut  = 4   // in a row: where each set-up fails by chance, fewer are common
+	failsToShut  = 12 // in a row: where each set-up fails by chance, fewer are common
 	firstClosed  = 250 * time.Millisecond
 	longestClose = 2 * time.Second
 	closeTicks   = 4               // ticks before the deadline by which a final answer is given
@@ -500,7 +500,8 @@
 	if dest != nil && (!c.open(dest, k) || !c.admits(dest, k)) {
 		dest = nil
 	}
-	if dest != nil && !c.pressed(dest) && (dest.trust >= 1 || c.rng.Float64() < dest.trust) {
+	if dest != nil && !c.pressed(dest) && dest.fails < 2 &&
+		(dest.trust >= 1 || c.rng.Float64() < dest.trust) {
 		return dest
 	}
 	if s := c.draw(k, false); s != nil {
@@ -519,7 +520,7 @@
 		if s.Number == k.Destination || !c.open(s, k) || !c.admits(s, k) || !pressedToo && c.pressed(s) {
 			continue
 		}
-		w := 1 / (c.delay(s) + c.t0.Seconds())
+		w := 1 / (c.delay(s) + c.t0.Seconds()) / float64(1+s.fails*s.fails)
 		sum += w
 		if c.rng.Float64()*sum < w {
 			pick = s
