--- a/controller.go
+++ b/controller.go
@@ -61,7 +61,7 @@
 // Health and ends.
 const (
 	silentHolds  = 3.0 // hold aims without any answer until a server counts as silent
-	failsToShut  = 12 // in a row: where each set-up fails by chance, fewer are common
+	failsToShut  = 12  // in a row: where each set-up fails by chance, fewer are common
 	firstClosed  = 250 * time.Millisecond
 	longestClose = 2 * time.Second
 	closeTicks   = 4               // ticks before the deadline by which a final answer is given
