--- a/api.go
+++ b/api.go
@@ -35,7 +35,6 @@
 	LateFailPrice   float64
 	ProbePrice      float64
 	PeerPrice       float64
-	SecondChoice    float64
 	OverShareWorth  float64 // part of its worth kept by a call over its tenant's share
 	TenantAllowance []float64
 }
