After a fault the next try waits an offset

Should also hold for short faults of any kind. May hurt where faults are independent and the aim is nearly over.

--- a/controller.go
+++ b/controller.go
@@ -689,6 +689,8 @@
 			return
 		}
 		c.hold(k, int((k.after-c.now)/c.t0)+1)
+	case Failed: // by chance perhaps, and then soon no more: tries spread over the aim
+		c.hold(k, firstOffset)
 	default:
 		c.place(k)
 	}
--- a/filter_test.go
+++ b/filter_test.go
@@ -529,6 +529,16 @@
 			t.Error("full without answers counts as no queue")
 		}
 	})
+	t.Run("after a fault the next try waits", func(t *testing.T) {
+		b := newBench(t, testSettings(), 1)
+		id, _ := b.call(0, nil)
+		if acts := b.do(AttemptOver{Call: id, Outcome: Failed, Server: 100}); sentTo(acts, id) != 0 {
+			t.Error("sent again at once")
+		}
+		if acts := b.pass(firstOffset * b.c.t0); sentTo(acts, id) != 100 {
+			t.Error("not sent again after the first offset")
+		}
+	})
 	t.Run("a cold server gets its share", func(t *testing.T) {
 		b := newBench(t, testSettings(), 1)
 		b.c.ref = 8
