Per-node figures as shares of the fleet's: growth, floor, cold budget, phases

Cause: each node grew a gate by 1/s, cut it to a count of one or two answers, and started every cut or cold gate with the same whole token. 200 nodes together flooded servers (35% of attempts turned away as full) and broke the cold budget.

Change: growth is 7/s for all nodes together (1 at a node at most); the answered rate leans on the mean of all servers where the own count is too small to tell; a cut of an open gate gives it a random phase in place of a token; repeats of the cut and of the end of a call merged.

Should also catch any news that reaches all nodes at once. Might hurt where one server is far from the mean and a node has few calls: its cut starts too high and needs a second one.

--- a/controller.go
+++ b/controller.go
@@ -26,11 +26,12 @@
 	answerSlots = 24              // answered set-ups are counted over two aims: few come in a second
 	steadyRate  = 6 * time.Second // memory of the longer answered rate
 	steadyPart  = 0.4             // and its part: the short count alone is chance at a few a second
+	priorCount  = 4.0             // answers that the mean of all servers counts for beside the own ones
 	refTime     = 60 * time.Second
 	burstAims   = 0.3
-	minDepth    = 1.5 // W at the least: a token and the half that least-worth calls must leave
-	minGrowth   = 1.0 // and at least by one set-up a second
-	minPerSlot  = 1.0 // "at least one" in a paper slot, for all nodes together
+	minDepth    = 1.5 // W at the least: a token, and half a one saved
+	minGrowth   = 7.0 // and at least by so many set-ups a second, all nodes together, one at a node at most
+	minPerSlot  = 1.0 // "at least one" in a paper slot, a second, for all nodes together
 )
 
 // Pressure: when a server counts as past the hold aim.
@@ -39,8 +40,7 @@
 	retransmitShare = 0.75    // and of the time after which its repeats add work
 	latencyGain     = 0.5     // of each answer in the smoothed answer time
 	idleHalf        = time.Second
-	drainAims       = 1.0 // a queue past the hold aim is to be gone within so many aims
-	minDrain        = 0.5
+	minDrain        = 0.5 // the least part of the answered rate that a cut leaves
 	recoverAims     = 3.0 // aims over which the destination regains its calls
 )
 
@@ -54,14 +54,14 @@
 const (
 	worthier  = 1.5 // times the mean worth from which a call may overdraw the bucket
 	overdraft = 2.0 // tokens that it may overdraw
-	lesser    = 0.6 // times the mean worth under which a call leaves the last half token to others
-	leave     = 0.5
+	lesser    = 0.6 // times the mean worth under which a call, a late redial above all, leaves
+	leave     = 0.5 // so much of the last token to others
 )
 
 // Health and ends.
 const (
-	silentHolds  = 3.0 // hold aims without any answer until a server counts as silent
-	failsToShut  = 12  // in a row: where each set-up fails by chance, fewer are common
+	silentHolds  = 3  // hold aims without any answer until a server counts as silent
+	failsToShut  = 12 // in a row: where each set-up fails by chance, fewer are common
 	firstClosed  = 250 * time.Millisecond
 	longestClose = 2 * time.Second
 	closeTicks   = 4               // ticks before the deadline by which a final answer is given
@@ -75,6 +75,8 @@
 
 var unbounded = math.Inf(1)
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // gate is a server's token bucket.
 type gate struct {
 	tokens, rate, depth float64
@@ -216,6 +218,7 @@
 	slotAt  time.Duration
 	t0      time.Duration
 	holdAim time.Duration
+	nodes   float64 // that share the servers
 	aim     time.Duration
 	servers []*server // by id
 	byID    map[uint32]*server
@@ -223,7 +226,8 @@
 	queue   []*call // the open ones in order of arrival
 	offered float64 // new calls a second, for all servers: what could be drawn to one of them
 	mean    float64 // mean worth of a new call
-	ref     float64 // answered set-ups a second of a warm server, for a cold one's share
+	pooled  float64 // answered set-ups a second of a warm server, in the mean of all
+	ref     float64 // the most that this was, for a cold one's share
 	acts    []Action
 	started bool
 	turned  map[redialKey]turnedCall // calls that did not stand
@@ -232,15 +236,13 @@
 
 func newController(s Settings, seed uint64) *Controller {
 	c := &Controller{set: s, rng: rand.New(rand.NewPCG(seed, 0x6c61726b)), byID: map[uint32]*server{},
-		calls: map[uint64]*call{}, turned: map[redialKey]turnedCall{}}
+		calls: map[uint64]*call{}, turned: map[redialKey]turnedCall{}, nodes: max(1, float64(s.Instances))}
 	for _, cl := range s.Classes {
 		if cl.Aim > 0 && (c.aim == 0 || cl.Aim < c.aim) {
 			c.aim = cl.Aim
 		}
 	}
-	if c.aim == 0 {
-		c.aim = paperSlot
-	}
+	c.aim = cmp.Or(c.aim, paperSlot)
 	c.t0 = max(c.aim/slotsPerAim, s.Tick, time.Millisecond)
 	c.holdAim = time.Duration(float64(c.aim) * aimShare)
 	if s.Retransmit > 0 {
@@ -252,7 +254,7 @@
 func (c *Controller) act(a Action) { c.acts = append(c.acts, a) }
 
 func (c *Controller) log(s *server, format string, args ...any) {
-	if c.now-s.loggedAt >= logEvery || s.loggedAt == 0 {
+	if s.loggedAt == 0 || c.now-s.loggedAt >= logEvery {
 		s.loggedAt = c.now
 		c.act(Log{fmt.Sprintf("server %d: ", s.Number) + fmt.Sprintf(format, args...)})
 	}
@@ -279,8 +281,7 @@
 	case AttemptOver:
 		c.onOver(ev)
 	case CallGone:
-		c.remember(c.calls[ev.Call])
-		c.forget(c.calls[ev.Call])
+		c.drop(c.calls[ev.Call])
 	case Timer:
 		if ev.Cookie == slotCookie {
 			c.onSlot()
@@ -313,11 +314,9 @@
 			s = &server{trust: 1, coldAt: -1, freeAt: -lineNews, latency: c.holdAim.Seconds() / 2}
 			s.rate, s.depth, s.tokens = unbounded, minDepth, minDepth
 			c.byID[in.ID] = s
-			at, _ := slices.BinarySearchFunc(c.servers, in.ID, func(s *server, id uint32) int {
-				return int(int64(s.ID) - int64(id))
-			})
-			c.servers = slices.Insert(c.servers, at, s)
 			s.ID = in.ID
+			c.servers = append(c.servers, s)
+			slices.SortFunc(c.servers, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 		}
 		if in.Started > s.Started && c.now-in.Started < c.set.RampTime {
 			c.chill(s, in.Started)
@@ -331,10 +330,19 @@
 // has just started, told by the list or guessed from an outage that ended before the list knew.
 func (c *Controller) chill(s *server, at time.Duration) {
 	s.coldAt = at
-	s.tokens = min(s.tokens, 0)
-	s.rate = min(s.rate, c.coldRate(s))
-	s.ring.cap(0)
-	c.log(s, "cold, hold to %.1f/s", s.rate)
+	s.tokens = min(s.tokens, c.rng.Float64())
+	c.cut(s, min(s.rate, c.coldRate(s)))
+	c.log(s, "cold, hold to %.2f/s", s.rate)
+}
+
+// cut lowers a gate and what its ring holds. An open gate gets a phase of its own, so that nodes told
+// alike do not send in step, nor each a token at once.
+func (c *Controller) cut(s *server, rate float64) {
+	if math.IsInf(s.rate, 1) {
+		s.tokens = min(s.tokens, c.rng.Float64())
+	}
+	s.rate, s.cutAt, s.lineless = max(rate, minPerSlot/c.nodes), c.now, false
+	s.ring.cap(max(0, (s.rate-s.lambda)*c.t0.Seconds()))
 }
 
 // coldRate is this node's share of what a warming server can do. Nobody is told its capacity: the
@@ -348,11 +356,7 @@
 	if c.set.RampTime > 0 {
 		warm = min(1, float64(c.now-s.coldAt)/float64(c.set.RampTime))
 	}
-	return max(ref*(c.set.ColdShare+(1-c.set.ColdShare)*warm), c.floor())
-}
-
-func (c *Controller) floor() float64 {
-	return minPerSlot / float64(max(c.set.Instances, 1)) / paperSlot.Seconds()
+	return max(ref*(c.set.ColdShare+(1-c.set.ColdShare)*warm), minPerSlot/c.nodes)
 }
 
 func (c *Controller) onCall(ev Call) {
@@ -368,10 +372,9 @@
 	k.aimAt = k.first + k.class.Aim
 	c.calls[ev.ID] = k
 	c.queue = append(c.queue, k)
-	if c.mean == 0 {
-		c.mean = c.worth(k)
-	}
-	c.mean += (c.worth(k) - c.mean) * 0.01
+	w := c.worthAt(k, c.now)
+	c.mean += (w - cmp.Or(c.mean, w)) * 0.01
+	c.mean = cmp.Or(c.mean, w)
 	if s := c.destination(k); s != nil {
 		s.fresh++
 	}
@@ -395,19 +398,18 @@
 	return c.now
 }
 
-// remember keeps a call that did not stand, so that its redial is known, until its deadline.
-func (c *Controller) remember(k *call) {
+// drop ends a call that did not stand; it is kept until its deadline, so that its redial is known.
+func (c *Controller) drop(k *call) {
 	if k != nil && k.Key != 0 {
 		c.turned[redialKey{k.Key, k.Class}] = turnedCall{k.first, max(k.first+k.class.Deadline, c.now)}
 	}
+	c.forget(k)
 }
 
 // margin is kept before a deadline: a timer comes a slot late at most, an answer some ticks.
 func (c *Controller) margin() time.Duration { return closeTicks * max(c.set.Tick, time.Millisecond) }
 
-// worth is what a call still earns if it is sent now.
-func (c *Controller) worth(k *call) float64 { return c.worthAt(k, c.now) }
-
+// worthAt is what a call earns if it stands at a time.
 func (c *Controller) worthAt(k *call, at time.Duration) float64 {
 	if at >= k.aimAt {
 		return k.class.Worth * k.class.LateShare
@@ -429,13 +431,10 @@
 	if s.Phase != Ready || c.now < s.closedUntil || s.trial && len(s.out) > 0 {
 		return false
 	}
-	if c.set.Mesh && s.Number == c.set.Home || k.InTransit && s.Number != k.Destination {
-		return false
-	}
-	if !c.set.Mesh && k.class.Pools != nil && !slices.Contains(k.class.Pools, s.Number) {
-		return false
-	}
-	if c.now-s.freeAt < lineNews && s.free < k.Circuits {
+	switch {
+	case c.set.Mesh && s.Number == c.set.Home, k.InTransit && s.Number != k.Destination,
+		!c.set.Mesh && k.class.Pools != nil && !slices.Contains(k.class.Pools, s.Number),
+		c.now-s.freeAt < lineNews && s.free < k.Circuits:
 		return false
 	}
 	if k.ran { // rules on repeats: the same effect may not happen twice
@@ -484,8 +483,8 @@
 	if math.IsInf(s.rate, 1) {
 		return true
 	}
-	need, w := 1.0, c.worthAt(k, c.now+time.Duration(c.delay(s)*float64(time.Second)))
-	if w >= worthier*c.mean && s.coldAt < 0 {
+	need := 1.0
+	if w := c.worthAt(k, c.now+seconds(c.delay(s))); w >= worthier*c.mean && s.coldAt < 0 {
 		need -= min(overdraft, s.rate*paperSlot.Seconds()) // repaid within a paper slot
 	} else if w < lesser*c.mean {
 		need += leave
@@ -538,9 +537,9 @@
 	}
 	if s := c.route(k); s != nil {
 		c.send(s, k)
-		return
+	} else {
+		c.block(k)
 	}
-	c.block(k)
 }
 
 // ringFor is the server on whose ring a blocked call borrows: its destination's, or the least delayed.
@@ -609,8 +608,7 @@
 		}
 		c.act(Refuse{k.ID, after})
 	}
-	c.remember(k)
-	c.forget(k)
+	c.drop(k)
 }
 
 func (c *Controller) forget(k *call) {
@@ -625,16 +623,14 @@
 		s.pass(c.now - ev.Elapsed - c.t0)
 		s.count++
 		s.fails = 0
-		s.sample(ev.Elapsed, c.now)
+		s.sample(ev.Elapsed.Seconds())
+		s.answered = c.now
 		s.trial, s.closeFor = false, 0
 	}
 	c.forget(c.calls[ev.Call])
 }
 
-func (s *server) sample(d, now time.Duration) {
-	s.latency += (d.Seconds() - s.latency) * latencyGain
-	s.answered = now
-}
+func (s *server) sample(d float64) { s.latency += (d - s.latency) * latencyGain }
 
 // settle takes an attempt off the outstanding ones.
 func (s *server) settle(id uint64, attempt int) *outstanding {
@@ -666,29 +662,25 @@
 		return
 	}
 	if ev.Ended {
-		c.remember(k)
-		c.forget(k)
+		c.drop(k)
 		return
 	}
 	if !k.out || ev.Attempt != k.attempts-1 {
 		return
 	}
 	k.out = false
-	switch ev.Outcome {
-	case TurnedAway, NoConnection, NotSent:
-	default:
-		if !k.ran && s != nil {
-			k.ran, k.ranAt, k.ranZone, k.ranCell = true, c.now-ev.Elapsed, s.Zone, s.Number
-		}
+	never := ev.Outcome == TurnedAway || ev.Outcome == NoConnection || ev.Outcome == NotSent
+	if !never && !k.ran && s != nil {
+		k.ran, k.ranAt, k.ranZone, k.ranCell = true, c.now-ev.Elapsed, s.Zone, s.Number
 	}
 	switch ev.Outcome {
 	case TimedOut, Reset, Cancelled: // its circuits may stay taken until the guard has passed
 		k.after = c.now + c.set.ReleaseGuard
-		if k.after >= k.deadline {
+		if k.after < k.deadline {
+			c.hold(k, int(c.set.ReleaseGuard/c.t0)+1)
+		} else {
 			c.finish(k)
-			return
 		}
-		c.hold(k, int((k.after-c.now)/c.t0)+1)
 	case Failed: // by chance perhaps, and then soon no more: tries spread over the aim
 		c.hold(k, firstOffset)
 	default:
@@ -704,7 +696,8 @@
 		if ev.Full && !c.pressed(s) && c.now-s.answered < c.aim {
 			s.lineless = true
 		} else if ev.Full { // lines or agents all taken say nothing of the processor
-			s.sample(max(ev.Elapsed, ev.Wait, 2*c.aim), c.now)
+			s.sample(max(ev.Elapsed, ev.Wait, 2*c.aim).Seconds())
+			s.answered = c.now
 		}
 		if ev.Outcome == TurnedAway && !ev.Full {
 			s.free, s.freeAt, s.lineless = 0, c.now, true
@@ -746,12 +739,12 @@
 		case "lat_ms":
 			wait = report[i] / 1000
 		case "q": // at the pace of a warm server, all nodes together
-			wait = report[i] / max(c.ref*float64(max(c.set.Instances, 1)), 1)
+			wait = report[i] / max(c.ref*c.nodes, 1)
 		}
 		// Calls that end bring reports long after the last set-up: where no answers come, they tell
 		// that the line has emptied, so that a server held back is not held longer than its queue.
 		if c.now-s.answered > c.holdAim && wait == wait && wait < s.latency {
-			s.latency += (wait - s.latency) * latencyGain
+			s.sample(wait)
 		}
 	}
 }
@@ -765,10 +758,7 @@
 	for n := 0; c.now >= c.slotAt+c.t0 && n < answerSlots; n++ {
 		c.slotAt += c.t0
 		c.slot++
-		c.offered = 0
-		for _, s := range c.servers {
-			c.offered += s.lambda
-		}
+		c.survey()
 		for _, s := range c.servers {
 			c.turn(s)
 		}
@@ -786,21 +776,47 @@
 	c.rescue()
 	var due []*call
 	for _, k := range c.queue {
-		if !k.ended && !k.out && c.now+c.t0 >= k.deadline {
+		switch {
+		case k.ended || k.out:
+		case c.now+c.t0 >= k.deadline:
 			c.finish(k)
-		} else if !k.ended && k.held && k.due <= c.slot && c.now >= k.after {
+		case k.held && k.due <= c.slot && c.now >= k.after:
 			due = append(due, k)
 		}
 	}
-	slices.SortStableFunc(due, func(a, b *call) int { return cmp.Compare(c.worth(b), c.worth(a)) })
+	slices.SortStableFunc(due, func(a, b *call) int {
+		return cmp.Compare(c.worthAt(b, c.now), c.worthAt(a, c.now))
+	})
 	for _, k := range due {
-		if !k.ended && k.held {
-			c.place(k)
-		}
+		c.place(k)
 	}
 	c.queue = slices.DeleteFunc(c.queue, func(k *call) bool { return k.ended })
 }
 
+// survey sums over servers what a slot at one of them is too short to tell.
+func (c *Controller) survey() {
+	n, steady := 0.0, 0.0
+	c.offered = 0
+	for _, s := range c.servers {
+		c.offered += s.lambda
+		if s.Phase == Ready && s.coldAt < 0 {
+			n, steady = n+1, steady+s.steady
+		}
+	}
+	c.ref *= 1 - c.t0.Seconds()/refTime.Seconds()
+	if n > 0 {
+		c.pooled = steady / n
+		c.ref = max(c.ref, c.pooled)
+	}
+}
+
+// believed leans a server's answered rate on the mean of all, or on its gate where that is lower, as far
+// as the own count is too small to tell: among hundreds of nodes one sees a few answers in seconds.
+func (c *Controller) believed(s *server, own float64) float64 {
+	n := c.pooled * steadyRate.Seconds() / priorCount
+	return own + (min(s.rate, c.pooled)-own)/(1+n*n)
+}
+
 // turn ends a slot at a server: its rate falls, grows or is freed, its ring shifts.
 func (c *Controller) turn(s *server) {
 	t0 := c.t0.Seconds()
@@ -812,8 +828,9 @@
 	}
 	s.slots = min(s.slots+1, answerSlots)
 	recent := float64(sum) / (float64(s.slots) * t0)
-	s.steady += (recent - s.steady) * t0 / steadyRate.Seconds()
-	rate := recent + (s.steady-recent)*steadyPart
+	gain := t0 / steadyRate.Seconds()
+	s.steady += (recent - s.steady) * gain
+	rate := c.believed(s, recent+(s.steady-recent)*steadyPart)
 	s.lambda += (float64(s.fresh)/t0 - s.lambda) * 2 / (answerSlots + 1)
 	s.fresh = 0
 	if len(s.out) == 0 && c.now-s.answered > idleHalf {
@@ -823,25 +840,18 @@
 	switch {
 	case d > hold:
 		s.trust = 0
-		if wait := time.Duration(max(d, hold) * float64(time.Second)); c.now-s.cutAt >= wait {
-			s.cutAt = c.now
-			drain := max(minDrain, 1-(d-hold)/(drainAims*c.aim.Seconds()))
-			if math.IsInf(s.rate, 1) {
-				s.tokens = min(s.tokens, 1)
-			}
-			s.rate = max(rate*drain, c.floor())
-			s.ring.cap(max(0, (s.rate-s.lambda)*t0))
-			c.log(s, "answers take %.0f ms, hold to %.1f/s", d*1000, s.rate)
+		if c.now-s.cutAt >= seconds(d) {
+			// what stands past the hold aim is to be gone within an aim
+			c.cut(s, rate*max(minDrain, 1-(d-hold)/c.aim.Seconds()))
+			c.log(s, "answers take %.0f ms, hold to %.2f/s", d*1000, s.rate)
 		}
 	case s.lineless && c.now-s.cutAt >= c.holdAim:
-		s.lineless, s.cutAt = false, c.now
-		s.rate = max(min(s.rate, rate), c.floor())
-		s.ring.cap(max(0, (s.rate-s.lambda)*t0))
-		c.log(s, "no line free or more than it takes, hold to %.1f/s", s.rate)
+		c.cut(s, min(s.rate, rate))
+		c.log(s, "no line free or more than it takes, hold to %.2f/s", s.rate)
 	default:
 		s.trust = min(1, s.trust+t0/(recoverAims*c.aim.Seconds()))
 		if !math.IsInf(s.rate, 1) {
-			s.rate += max(growth*s.rate, minGrowth) * t0 / paperSlot.Seconds()
+			s.rate += max(growth*s.rate, min(1, minGrowth/c.nodes)) * t0 / paperSlot.Seconds()
 			if s.rate > c.offered && s.coldAt < 0 {
 				s.rate = unbounded
 			}
@@ -855,17 +865,16 @@
 		}
 	} else {
 		s.best = max(s.best*(1-t0/refTime.Seconds()), rate)
-		c.ref = max(c.ref*(1-t0/refTime.Seconds()), rate)
+		c.ref = max(c.ref, rate)
 	}
 	s.refill(c.t0)
-	w := max(0, (min(s.rate, s.lambda+rate+1)-s.lambda)*t0)
-	s.ring.shift(w)
+	s.ring.shift(max(0, (min(s.rate, s.lambda+rate+1)-s.lambda)*t0))
 }
 
 // rescue calls off what waits at a silent server, if another may still set it up in time, and what
 // was lost on its way, if any may.
 func (c *Controller) rescue() {
-	silence := time.Duration(silentHolds * float64(c.holdAim))
+	silence := silentHolds * c.holdAim
 	for _, s := range c.servers {
 		oldest, _ := c.waiting(s)
 		silent := oldest >= silence && c.now-s.answered >= silence
@@ -893,13 +902,11 @@
 	if age >= 2*c.aim {
 		limit = k.deadline
 	}
-	if k.class.Repeat == NonRepeatable || c.set.MaxAttempts > 0 && k.attempts >= c.set.MaxAttempts {
-		return false
-	}
+	spent := c.set.MaxAttempts > 0 && k.attempts >= c.set.MaxAttempts
 	for _, s := range c.servers {
-		at := c.now + c.set.ReleaseGuard + time.Duration(c.delay(s)*float64(time.Second))
+		at := c.now + c.set.ReleaseGuard + seconds(c.delay(s))
 		if s != from && c.open(s, k) && !c.pressed(s) && at < limit {
-			return true
+			return !spent && k.class.Repeat != NonRepeatable
 		}
 	}
 	return false
--- a/filter_test.go
+++ b/filter_test.go
@@ -394,9 +394,11 @@
 			t.Error("a want of lines counts as a queue")
 		}
 		b.do(Probed{Server: 100, OK: true, Report: []float64{4, 50, -1}})
-		if _, to := b.call(0, nil); to != 100 {
+		second, to := b.call(0, nil)
+		if to != 100 {
 			t.Error("nothing sent once lines were told free")
 		}
+		b.stand(second, 100, 30*ms)
 		b.do(Probed{Server: 100, OK: true, Report: []float64{0, 50, -1}})
 		if _, to := b.call(0, nil); to != 0 {
 			t.Error("sent though no line is free")
