--- a/controller.go
+++ b/controller.go
@@ -567,10 +567,8 @@
 	s := c.ringFor(k)
 	switch {
 	case s == nil: // no server in sight: held while there is hope
-		if firstOffset <= last {
-			c.hold(k, firstOffset)
-			return
-		}
+		c.hold(k, firstOffset)
+		return
 	case s.b[s.head] > 0 && next <= last && k.chain < chainLength:
 		s.b[s.head]--
 		k.chain++
@@ -590,7 +588,12 @@
 	return c.set.MaxAttempts > 0 && k.attempts >= c.set.MaxAttempts
 }
 
-func (c *Controller) hold(k *call, slots int) { k.held, k.due = true, c.slot+slots }
+// hold keeps a call for some slots, unless no slot comes in time to answer it.
+func (c *Controller) hold(k *call, slots int) {
+	if k.held, k.due = true, c.slot+slots; max(c.wakeAt, k.after) >= k.deadline {
+		c.finish(k)
+	}
+}
 
 func (c *Controller) send(s *server, k *call) {
 	if !math.IsInf(s.rate, 1) {
@@ -679,9 +682,7 @@
 	switch ev.Outcome {
 	case TimedOut, Reset, Cancelled: // its circuits may stay taken until the guard has passed
 		k.after = c.now + c.set.ReleaseGuard
-		if c.hold(k, int(c.set.ReleaseGuard/c.t0)+1); k.after >= k.deadline {
-			c.finish(k)
-		}
+		c.hold(k, int(c.set.ReleaseGuard/c.t0)+1)
 	case Failed: // by chance perhaps, and then soon no more: tries spread over the aim
 		c.hold(k, firstOffset)
 	default:
@@ -816,7 +817,6 @@
 	c.ref *= 1 - c.t0.Seconds()/refTime.Seconds()
 	if n > 0 {
 		c.pooled += (recent/n - c.pooled) * max(c.t0.Seconds()/steadyRate.Seconds(), 1/float64(c.slot))
-		c.ref = max(c.ref, c.pooled)
 	}
 }
 
--- a/filter_test.go
+++ b/filter_test.go
@@ -356,6 +356,18 @@
 			t.Errorf("part lost %.2f, answer time %.2f s", b.c.loss, b.c.servers[0].latency)
 		}
 	})
+	t.Run("a fault between the last slot and the deadline is answered at once", func(t *testing.T) {
+		for _, o := range []Outcome{Failed, Reset, Cancelled, TimedOut} {
+			b := newBench(t, testSettings(), 1)
+			b.pass(b.c.t0)
+			id, _ := b.call(0, func(c *Call) { c.Left = 10*b.c.t0 + 30*ms })
+			b.pass(10 * b.c.t0)
+			b.now += 5 * ms
+			if acts := b.do(AttemptOver{Call: id, Outcome: o, Server: 100}); answered(acts, id) == "" {
+				t.Errorf("outcome %d just before the deadline: no answer, and the next slot comes after it", o)
+			}
+		}
+	})
 	t.Run("the node's own stall is no server's queue", func(t *testing.T) {
 		b := newBench(t, testSettings(), 2)
 		for range 10 {
