--- a/controller.go
+++ b/controller.go
@@ -28,16 +28,17 @@
 	priorCount  = 4.0             // answers from which the own count tells more than the mean of all servers
 	refTime     = 60 * time.Second
 	burstAims   = 0.3
-	minDepth    = 1.5  // W at the least: a token, and half a one saved
-	minGrowth   = 7.0  // and at least by so many set-ups a second, all nodes together, one at a node at most
-	probePart   = 0.25 // of a server's mean rate: how far a gate grows before the first good news
-	minPerSlot  = 1.0  // "at least one" in a paper slot, a second, for all nodes together
+	minDepth    = 1.5             // W at the least: a token, and half a one saved
+	minGrowth   = 7.0             // and at least so many a second, all nodes together, one at a node at most
+	growPart    = 0.1             // or by this part of a warm server's capacity, where that is more
+	quietTime   = 3 * time.Second // without a cut, after which it grows faster
+	probePart   = 0.25            // of a server's mean rate: how far a gate grows before the first good news
+	minPerSlot  = 1.0             // "at least one" in a paper slot, a second, for all nodes together
 )
 
 // Pressure: when a server counts as past the hold aim.
 const (
-	holdPerAim = 3 // a set-up may wait at a server for a third of the shortest aim, and at most for three
-	// quarters of the time after which its repeats add work
+	holdPerAim  = 3   // a set-up may wait a third of the shortest aim; less where its repeats add work
 	latencyGain = 0.5 // of each answer in the smoothed answer time
 	idleHalf    = time.Second
 	minDrain    = 0.5 // the least part of the answered rate that a cut leaves
@@ -310,8 +311,7 @@
 		return
 	}
 	c.wakeAt, c.wokeAt, c.late = c.now, c.now, late
-	c.slept += late
-	c.slotAt += late
+	c.slept, c.slotAt = c.slept+late, c.slotAt+late
 	for _, k := range c.queue {
 		k.due -= int(late / c.t0)
 	}
@@ -548,7 +548,7 @@
 	}
 }
 
-// ringFor is the server on whose ring a blocked call borrows: its destination, or the least delayed.
+// ringFor is the server whose ring a blocked call borrows from: its destination, or the least delayed.
 func (c *Controller) ringFor(k *call) *server {
 	if s := c.destination(k); s != nil && c.open(s, k) {
 		return s
@@ -588,7 +588,7 @@
 	return c.set.MaxAttempts > 0 && k.attempts >= c.set.MaxAttempts
 }
 
-// hold keeps a call for some slots, unless no slot comes in time to answer it.
+// hold keeps a call for some slots, unless none comes in time to answer it.
 func (c *Controller) hold(k *call, slots int) {
 	if k.held, k.due = true, c.slot+slots; max(c.wakeAt, k.after) >= k.deadline {
 		c.finish(k)
@@ -600,8 +600,7 @@
 		s.tokens--
 	}
 	s.out = append(s.out, outstanding{call: k.ID, attempt: k.attempts, sent: c.awake()})
-	k.out = true
-	k.attempts++
+	k.out, k.attempts = true, k.attempts+1
 	c.act(Attempt{k.ID, s.ID, k.deadline - c.now})
 }
 
@@ -760,8 +759,7 @@
 		c.askAt = 0
 	}
 	for n := 0; c.now >= c.slotAt+c.t0 && n < answerSlots; n++ {
-		c.slotAt += c.t0
-		c.slot++
+		c.slotAt, c.slot = c.slotAt+c.t0, c.slot+1
 		c.survey()
 		for _, s := range c.servers {
 			c.turn(s)
@@ -828,7 +826,9 @@
 	return cmp.Or(s.size, c.least) / c.meanSize
 }
 
-func (c *Controller) step(s *server) float64 { return c.share(s) * min(1, minGrowth/c.nodes) }
+func (c *Controller) step(s *server) float64 {
+	return c.share(s) * max(min(1, minGrowth/c.nodes), growPart*c.ref)
+}
 
 // believed leans a server's answered rate on the mean, or on its lower gate, as far as the count is small.
 func (c *Controller) believed(s *server) float64 {
@@ -844,7 +844,8 @@
 	if s.coldAt >= 0 {
 		least = max(least, c.coldRate(s)) // its budget is there, whatever held it before
 	}
-	step := max(growth*s.rate, least) * c.t0.Seconds()
+	quiet := max(1, (c.awake()-s.cutAt).Seconds()/quietTime.Seconds())
+	step := min(4, quiet) * max(growth*s.rate, least) * c.t0.Seconds()
 	if s.goodAt <= s.cutAt {
 		step = min(step, max(0, probePart*c.pooled*c.share(s)-s.rate))
 	}
@@ -858,9 +859,9 @@
 	t0 := c.t0.Seconds()
 	gain := max(2.0/(answerSlots+1), 1/float64(c.slot))
 	s.recent += (s.count/t0 - s.recent) * gain
-	rate := c.believed(s)
 	s.lambda += (s.fresh/t0 - s.lambda) * gain
 	s.count, s.fresh = 0, 0
+	rate := c.believed(s)
 	if len(s.out) == 0 && c.awake()-s.answered > idleHalf {
 		s.latency *= math.Exp2(-c.t0.Seconds() / idleHalf.Seconds())
 	}
@@ -873,12 +874,11 @@
 		s.trust = min(1, s.trust+t0/(recoverAims*c.aim.Seconds()))
 		c.grow(s)
 	}
+	if s.coldAt >= 0 && c.now-s.coldAt >= c.set.RampTime {
+		s.coldAt = -1
+	}
 	if s.coldAt >= 0 {
-		if c.now-s.coldAt >= c.set.RampTime {
-			s.coldAt = -1
-		} else {
-			s.rate = min(s.rate, c.coldRate(s))
-		}
+		s.rate = min(s.rate, c.coldRate(s))
 	} else {
 		gain = t0 / refTime.Seconds()
 		if rate > s.best { // slowly too: a short count is chance
