Unanswered set-ups: one at a node where many share a server

Cause: two set-ups out at each of 200 nodes are seconds of a small server's work. The least window is now 14 for all nodes together, between one and two a node.

Might hurt where the way to a server is long against the time between calls.

--- a/controller.go
+++ b/controller.go
@@ -47,7 +47,8 @@
 
 // Unanswered set-ups that a gate lets stand, whatever its tokens.
 const (
-	leastOut = 2.0
+	leastOut = 2.0  // at a node, but no more than
+	fleetOut = 14   // at all nodes together
 	outAims  = 0.35 // aims in which a warm server would answer them
 )
 
@@ -408,11 +409,10 @@
 	if k.DialedAgain {
 		return c.now - max(0, k.class.Deadline-k.Left)
 	}
-	if c.now != c.wokeAt {
-		c.usual[k.Class] = k.Left
-	} else if waited := c.usual[k.Class] - k.Left; waited > 0 { // while the node stood still
-		return c.now - min(waited, c.late)
+	if c.now == c.wokeAt { // it may have waited while the node stood still
+		return c.now - min(max(0, c.usual[k.Class]-k.Left), c.late)
 	}
+	c.usual[k.Class] = k.Left
 	return c.now
 }
 
@@ -483,10 +483,11 @@
 // admits says whether the gate lets the call pass. A call worth much more than the mean may overdraw
 // the bucket, one worth much less leaves a part: what is scarce goes to the call worth more.
 func (c *Controller) admits(s *server, k *call) bool {
-	// Answers tell of a queue only once it stands: a wave through an open gate is over by then. So no more
-	// go unanswered than a warm server answers in a part of the aim, and one at a cold server.
+	// Answers tell of a queue only once it stands: a wave through an open gate is over by then. So no more go
+	// unanswered than a warm server answers in a part of the aim, one at the least, and one at a cold server.
 	_, n := c.waiting(s)
-	if n >= max(leastOut, c.ref*c.share(s)*c.aim.Seconds()*outAims) || n > 0 && s.coldAt >= 0 {
+	most := max(1, min(leastOut, fleetOut/c.nodes), c.ref*c.share(s)*c.aim.Seconds()*outAims)
+	if n >= most || n > 0 && s.coldAt >= 0 {
 		return false
 	}
 	if math.IsInf(s.rate, 1) {
@@ -609,8 +610,8 @@
 	if k.ran && (k.class.Repeat == NonRepeatable || k.class.Repeat == Keyed && k.class.Scope != ScopeAll) {
 		c.act(Abandon{k.ID})
 	} else {
-		after := (0.25 + 0.75*c.rng.Float64()) * float64(c.set.MaxRetryAfter) // spread the redials
-		c.act(Refuse{k.ID, time.Duration(after)})
+		spread := 0.25 + 0.75*c.rng.Float64() // of the redials
+		c.act(Refuse{k.ID, time.Duration(spread * float64(c.set.MaxRetryAfter))})
 	}
 	c.drop(k, false)
 }
@@ -812,8 +813,7 @@
 			n, recent = n+c.share(s), recent+s.recent
 		}
 	}
-	c.ref *= 1 - c.t0.Seconds()/refTime.Seconds()
-	if n > 0 {
+	if c.ref *= 1 - c.t0.Seconds()/refTime.Seconds(); n > 0 {
 		c.pooled += (recent/n - c.pooled) * max(c.t0.Seconds()/steadyRate.Seconds(), 1/float64(c.slot))
 	}
 }
