Tests: rules under stalls and lost answers, odd fleets, clocks and lists

The rule scripts now also let a node stand still for 0.2 to 2 s again and again and lose a quarter of the answers; 0, 1 and 2^30 instances, a clock that jumps 7 s, a burst at one instant, every server cold, none ready. No change to the module.

--- a/filter_test.go
+++ b/filter_test.go
@@ -758,3 +758,55 @@
 		b.stand(id, 101, 30*ms)
 	}
 }
+
+// TestOddFleetsAndClocks: legal but odd settings, lists and clocks leave a working controller.
+func TestOddFleetsAndClocks(t *testing.T) {
+	for _, n := range []int{0, 1, 1 << 30} {
+		set := testSettings()
+		set.Instances = n
+		b := newBench(t, set, 2)
+		if id, to := b.call(0, nil); to != 100 {
+			t.Errorf("%d instances: call %d sent to %d", n, id, to)
+		}
+		b.now += 7 * time.Second // a jump of the clock, and then a burst at one instant
+		for range 50 {
+			b.do(Timer{slotCookie})
+			b.do(AttemptOver{Call: 1, Outcome: Cancelled, Server: 100})
+			b.call(1, nil)
+		}
+		for _, s := range b.c.servers {
+			if math.IsNaN(s.rate) || math.IsNaN(s.tokens) || math.IsNaN(s.latency) {
+				t.Errorf("%d instances: rate %v, tokens %v, answer time %v", n, s.rate, s.tokens, s.latency)
+			}
+		}
+		if b.pass(4 * time.Second); len(b.c.calls)-len(b.c.servers[0].out)-len(b.c.servers[1].out) > 0 {
+			t.Errorf("%d instances: %d calls neither out nor answered", n, len(b.c.calls))
+		}
+	}
+	b := newBench(t, testSettings(), 0)
+	var rows []ServerInfo
+	for i := range 3 {
+		in := ready(uint32(100+i), i)
+		in.Started = b.now - 100*ms
+		rows = append(rows, in)
+	}
+	b.do(serverList(ListFull, rows...))
+	sent := 0
+	for range 40 { // ten seconds, all servers cold and none ever seen warm
+		if _, to := b.call(int(b.id)%3, nil); to != 0 {
+			sent++
+			b.stand(b.id, to, 20*ms)
+		}
+		b.pass(250 * ms)
+	}
+	if sent == 0 || sent > 40 {
+		t.Errorf("%d of 40 calls sent on arrival with every server cold", sent)
+	}
+	for i := range rows {
+		rows[i].Phase = Draining
+	}
+	b.do(serverList(ListFull, rows...))
+	if id, to := b.call(0, nil); to != 0 {
+		t.Errorf("call %d sent to %d though none is ready", id, to)
+	}
+}
--- a/rules_test.go
+++ b/rules_test.go
@@ -75,6 +75,10 @@
 	after   func(s *script)
 	stood   int
 	finals  int
+	stalls  bool          // the node stands still now and then, and finds all that came meanwhile
+	asleep  time.Duration // until then
+	backlog []func()
+	lose    float64 // part of answers that never come
 }
 
 func (s *script) breakRule(format string, args ...any) {
@@ -121,7 +125,8 @@
 	if k.ended {
 		s.breakRule("rule 1: call %d answered twice", id)
 	}
-	if s.now > k.deadline+s.set.AnswerSlack {
+	// No node answers while it stands still: then the answer at its end counts.
+	if s.now > k.deadline+s.set.AnswerSlack && k.deadline > s.asleep {
 		s.breakRule("rule 1: call %d answered %v late", id, s.now-k.deadline)
 	}
 	if refused && k.ran && k.class.Repeat != Repeatable {
@@ -162,13 +167,13 @@
 	switch r := s.rng.Float64(); {
 	case f.down && r < 0.4:
 		o, d = NoConnection, 500*ms
-	case f.down, r < 0.03: // no answer ever: only the time-out ends it
+	case f.down, r < 0.03+s.lose: // no answer ever: only the time-out ends it
 		o, d = TimedOut, a.Timeout
 	case f.full && r < 0.8:
 		o, d = TurnedAway, 10*ms
-	case r < 0.05:
+	case r < 0.05+s.lose:
 		o = Reset
-	case r < 0.06:
+	case r < 0.06+s.lose:
 		o = Failed
 	}
 	if a.Timeout > 0 && d >= a.Timeout {
@@ -283,6 +288,36 @@
 	s.tell(serverList(ListCached, rows...))
 }
 
+// hand gives an event to the node now, or once it no longer stands still.
+func (s *script) hand(do func()) {
+	if s.now < s.asleep {
+		s.backlog = append(s.backlog, do)
+		return
+	}
+	do()
+}
+
+// wake plays what is due, and before it what waited for the node.
+func (s *script) wake() {
+	waited, due := s.backlog, s.agenda
+	s.backlog, s.agenda = nil, nil
+	for _, l := range due {
+		if l.at > s.now {
+			s.agenda = append(s.agenda, l)
+		}
+	}
+	for _, l := range due {
+		if l.at <= s.now {
+			if ev := l.do(); ev != nil {
+				s.tell(ev)
+			}
+		}
+	}
+	for _, do := range waited {
+		do()
+	}
+}
+
 func play(seed uint64, length time.Duration, prepare func(*script)) *script {
 	s := &script{set: testSettings(), rng: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, calls: map[uint64]*watched{}}
 	for i := range 3 {
@@ -294,19 +329,11 @@
 	s.start(seed)
 	end := s.now + length
 	for ; s.now < end+4*time.Second; s.now += 5 * ms {
-		due := s.agenda
-		s.agenda = nil
-		for _, l := range due {
-			if l.at > s.now {
-				s.agenda = append(s.agenda, l)
-			}
+		if s.stalls && s.now >= s.asleep && s.rng.Float64() < 0.002 {
+			s.asleep = s.now + time.Duration(200+s.rng.IntN(1800))*ms
 		}
-		for _, l := range due {
-			if l.at <= s.now {
-				if ev := l.do(); ev != nil {
-					s.tell(ev)
-				}
-			}
+		if s.now >= s.asleep {
+			s.wake()
 		}
 		if s.now < end && s.rng.Float64() < nodeRate*0.005*(1+3*float64(s.now/time.Second%7/6)) {
 			s.nextID++
@@ -314,19 +341,32 @@
 			left := time.Duration(300+s.rng.IntN(3000)) * ms
 			s.calls[s.nextID] = &watched{class: s.set.Classes[c], deadline: s.now + left}
 			s.order = append(s.order, s.nextID)
-			s.tell(Call{ID: s.nextID, Class: c, Left: left, Destination: s.rng.IntN(4), Circuits: 1, Via: -1,
-				DialedAgain: s.rng.IntN(4) == 0})
+			ev := Call{ID: s.nextID, Class: c, Destination: s.rng.IntN(4), Circuits: 1, Via: -1,
+				DialedAgain: s.rng.IntN(4) == 0}
+			k := s.calls[ev.ID]
+			s.hand(func() {
+				if ev.Left = k.deadline - s.now; ev.Left > 0 {
+					s.tell(ev)
+				} else {
+					k.ended = true // its caller left during the stall
+				}
+			})
 		}
-		if s.now < end && s.rng.Float64() < 0.0025 {
+		if s.now < end && s.now >= s.asleep && s.rng.Float64() < 0.0025 {
 			if ev := s.change(); ev != nil {
 				s.tell(ev)
 			}
 		}
 		if s.rng.Float64() < 0.0001 {
+			s.asleep, s.backlog = 0, nil
 			s.start(s.rng.Uint64())
 		}
 		for _, id := range s.order {
 			if k := s.calls[id]; !k.ended && s.now > k.deadline+s.set.AnswerSlack {
+				if s.now < s.asleep || s.stalls && s.now < s.asleep+100*ms {
+					s.hand(func() { k.ended = true; s.tell(CallGone{id}) }) // its caller left meanwhile
+					continue
+				}
 				s.breakRule("rule 1: call %d has no answer", id)
 				k.ended = true
 			}
@@ -352,6 +392,21 @@
 	}
 }
 
+// TestFiveRulesInTrouble: the same with a node that stands still again and again, and with answers lost.
+func TestFiveRulesInTrouble(t *testing.T) {
+	stood := 0
+	for seed := uint64(101); seed <= 130; seed++ {
+		s := play(seed, 60*time.Second, func(s *script) { s.stalls, s.lose = seed%3 > 0, float64(seed%2)*0.25 })
+		for _, b := range s.broken[:min(len(s.broken), 3)] {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+		stood += s.stood
+	}
+	if stood < 2000 {
+		t.Errorf("%d calls stood: the scripts test too little", stood)
+	}
+}
+
 // TestRulesAreChecked takes a guard out at a time: the check must see the rule broken.
 func TestRulesAreChecked(t *testing.T) {
 	cases := map[string]struct {
