--- a/controller.go
+++ b/controller.go
@@ -343,7 +343,7 @@
 		}
 		if in.Started > s.Started && c.now-in.Started < c.set.RampTime {
 			c.chill(s, in.Started)
-			s.closedUntil, s.closeFor = 0, 0
+			s.closedUntil, s.closeFor, s.goodAt = 0, 0, c.awake()+1 // a start is good news
 		}
 		s.ServerInfo = in
 	}
--- a/filter_test.go
+++ b/filter_test.go
@@ -368,6 +368,28 @@
 			}
 		}
 	})
+	t.Run("a replaced server's budget is used before each node's first answer", func(t *testing.T) {
+		set := testSettings()
+		set.Instances = 260
+		b := newBench(t, set, 2)
+		b.c.pooled, b.c.ref = 0.4, 0.4
+		for i := range uint32(2) { // of very unequal size
+			b.do(Probed{Server: 100 + i, OK: true, Report: []float64{50, 100 + 900*float64(i), -1}})
+		}
+		fresh := ready(102, 2)
+		fresh.Started = b.now
+		b.do(serverList(ListDelta, fresh))
+		b.pass(200 * ms)
+		b.do(Probed{Server: 102, OK: true, Report: []float64{900, 1000, -1}}) // its size becomes known
+		for range 20 {
+			b.c.servers[2].fresh = 1
+			b.c.pooled, b.c.ref = 0.4, 0.4
+			b.pass(b.c.t0)
+		}
+		if s := b.c.servers[2]; s.rate < 0.9*b.c.coldRate(s) {
+			t.Errorf("held to %.3f/s of a budget of %.3f/s", s.rate, b.c.coldRate(s))
+		}
+	})
 	t.Run("the node's own stall is no server's queue", func(t *testing.T) {
 		b := newBench(t, testSettings(), 2)
 		for range 10 {
