Spread over three slots what comes at once at the end of a node's stall

Nodes of a district wake at one time, each with a clump of calls; gates and windows alone held them. Fresh calls that come at the end of a stall wait 0 to 3 slots and then meet the gate. Might hurt where aims are short against three slots: then it does not act.

--- a/controller.go
+++ b/controller.go
@@ -1,8 +1,6 @@
 // Package larkrouter decides, for one access node, where a call is set up, when, and whether at all.
 // Its events, actions and settings are in api.go; every decision is in this file.
-//
-// The ordinary path of a call is that of Abacus Filters (docs/design.md): route, gate, borrow, or
-// refuse at once. All else is a guard around that path and says what it guards against.
+// A call's ordinary path is that of Abacus Filters (docs/design.md); all else is a guard around it.
 package larkrouter
 
 import (
@@ -199,10 +197,8 @@
 }
 
 // redialKey and turnedCall remember calls that did not stand.
-type (
-	redialKey  struct{ number, class uint64 }
-	turnedCall struct{ first, until time.Duration }
-)
+type redialKey struct{ number, class uint64 }
+type turnedCall struct{ first, until time.Duration }
 
 // Controller decides for one access node. It is not safe for use by several goroutines.
 type Controller struct {
@@ -396,6 +392,10 @@
 	if s := c.destination(k); s != nil {
 		s.fresh++
 	}
+	if c.now == c.wokeAt && k.first+k.class.Aim-c.now > 2*c.holdAim { // not all at once
+		c.hold(k, c.rng.IntN(firstOffset+1))
+		return
+	}
 	c.place(k)
 }
 
--- a/filter_test.go
+++ b/filter_test.go
@@ -368,6 +368,29 @@
 			}
 		}
 	})
+	t.Run("what comes at the end of a stall is not all sent at once", func(t *testing.T) {
+		b := newBench(t, testSettings(), 9)
+		b.pass(time.Second)
+		b.now += 1500 * ms // nodes of a district wake at one time
+		b.do(Timer{slotCookie})
+		sent := 0
+		var ids []uint64
+		for i := range 9 {
+			id, to := b.call(i, nil)
+			if ids = append(ids, id); to != 0 {
+				sent++
+			}
+		}
+		later, acts := 0, b.pass(5*b.c.t0)
+		for _, id := range ids {
+			if sentTo(acts, id) != 0 {
+				later++
+			}
+		}
+		if sent > 0 || later != 9 {
+			t.Errorf("%d of 9 sent at once, %d over the next slots", sent, later)
+		}
+	})
 	t.Run("a replaced server's budget is used before each node's first answer", func(t *testing.T) {
 		set := testSettings()
 		set.Instances = 260
