--- /dev/null
+++ b/internal/config/load.go
@@ -0,0 +1,235 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/pelletier/go-toml/v2"
+
+	"larkrouter"
+	"larkrouter/internal/pool"
+)
+
+// Load reads and checks the file. The error joins one line for each fault.
+func Load(path string) (*File, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the configuration: %w", err)
+	}
+	return Parse(path, b)
+}
+
+// Parse reads and checks a file's content; name is for the errors.
+func Parse(name string, b []byte) (*File, error) {
+	f := defaults()
+	if err := decode(name, b, &f); err != nil {
+		return nil, err
+	}
+	for i := range f.Class {
+		if f.Class[i].Try == 0 {
+			f.Class[i].Try = f.Class[i].Deadline
+		}
+	}
+	errs := validate(name, &f)
+	errs = append(errs, f.across(name)...)
+	if len(errs) > 0 {
+		return nil, errors.Join(errs...)
+	}
+	return &f, nil
+}
+
+// Servers reads a file of [[server]] tables, as pool.file names it.
+func Servers(name string, b []byte) ([]pool.Server, error) {
+	var f struct {
+		Server []pool.Server `toml:"server" validate:"dive"`
+	}
+	if err := decode(name, b, &f); err != nil {
+		return nil, err
+	}
+	if errs := append(validate(name, &f), checkServers(name, f.Server)...); len(errs) > 0 {
+		return nil, errors.Join(errs...)
+	}
+	return f.Server, nil
+}
+
+func decode(name string, b []byte, into any) error {
+	d := toml.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	err := d.Decode(into)
+	var unknown *toml.StrictMissingError
+	var wrong *toml.DecodeError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &unknown):
+		var errs []error
+		for _, e := range unknown.Errors {
+			line, _ := e.Position()
+			errs = append(errs, fmt.Errorf("%s:%d: %s: no such key; larkrouter's operating page lists those there are",
+				name, line, strings.Join(e.Key(), ".")))
+		}
+		return errors.Join(errs...)
+	case errors.As(err, &wrong):
+		line, col := wrong.Position()
+		return fmt.Errorf("%s:%d:%d: %s: %s", name, line, col, strings.Join(wrong.Key(), "."), wrong.Error())
+	}
+	return fmt.Errorf("%s: %w", name, err)
+}
+
+var checker = func() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("toml"), ",")
+		return name
+	})
+	if err := v.RegisterValidation("hostport", func(f validator.FieldLevel) bool {
+		_, err := netip.ParseAddrPort(f.Field().String())
+		return err == nil
+	}); err != nil {
+		panic(err)
+	}
+	return v
+}()
+
+// right says in words what a check wants.
+func right(e validator.FieldError) string {
+	switch e.Tag() {
+	case "required", "min":
+		return "it has to be given"
+	case "hostport":
+		return "a numeric host:port is right, as 127.0.0.1:5060"
+	case "gt":
+		return "more than " + e.Param() + " is right"
+	case "gte":
+		return e.Param() + " or more is right"
+	case "lte":
+		return e.Param() + " or less is right"
+	case "ltfield":
+		return "less than " + strings.ToLower(e.Param()) + " is right"
+	case "oneof":
+		return "one of " + strings.ReplaceAll(e.Param(), " ", ", ") + " is right"
+	}
+	return e.Tag() + " " + e.Param() + " is right"
+}
+
+func validate(name string, f any) []error {
+	err := checker.Struct(f)
+	var fields validator.ValidationErrors
+	if !errors.As(err, &fields) {
+		if err != nil {
+			return []error{fmt.Errorf("%s: %w", name, err)}
+		}
+		return nil
+	}
+	var errs []error
+	for _, e := range fields {
+		_, key, _ := strings.Cut(e.Namespace(), ".")
+		value := e.Value()
+		if d, ok := value.(Duration); ok {
+			b, _ := d.MarshalText()
+			value = string(b)
+		}
+		errs = append(errs, fmt.Errorf("%s: %s = %v: %s", name, key, value, right(e)))
+	}
+	return errs
+}
+
+// across checks what one field's check can't see.
+func (f *File) across(name string) []error {
+	var errs []error
+	bad := func(key, format string, args ...any) {
+		errs = append(errs, fmt.Errorf("%s: %s: %s", name, key, fmt.Sprintf(format, args...)))
+	}
+	if f.Listen.UDP == "" && f.Listen.TCP == "" {
+		bad("listen", "neither udp nor tcp is given, one at least is right")
+	}
+	for _, l := range [...]struct{ key, at, adv string }{{"udp", f.Listen.UDP, f.Listen.AdvertiseUDP}, {"tcp", f.Listen.TCP, f.Listen.AdvertiseTCP}} {
+		if a := addr(l.at); a.IsValid() && l.adv == "" && (a.Addr().IsUnspecified() || a.Port() == 0) {
+			bad("listen."+l.key, "%s can't stand in Via and Contact: listen.advertise_%s is needed beside it", l.at, l.key)
+		}
+	}
+	sources := 0
+	for _, given := range []bool{len(f.Server) > 0, f.Pool.ListServer != "", f.Pool.File != ""} {
+		if given {
+			sources++
+		}
+	}
+	if sources != 1 {
+		bad("pool", "%d sources of call servers are given; exactly one of [[server]], pool.list_server and pool.file is right", sources)
+	}
+	names := map[string]int{}
+	rest := 0
+	for i, c := range f.Class {
+		key := fmt.Sprintf("class[%d]", i)
+		if first, ok := names[c.Name]; ok {
+			bad(key+".name", "%q is the name of class[%d] too, each class has its own", c.Name, first)
+		}
+		names[c.Name] = i
+		if c.Aim > c.Deadline {
+			bad(key+".aim", "%v is longer than the deadline of %v, at most as long is right", durationOf(c.Aim), durationOf(c.Deadline))
+		}
+		if c.Try > c.Deadline {
+			bad(key+".try", "%v is longer than the deadline of %v, at most as long is right", durationOf(c.Try), durationOf(c.Deadline))
+		}
+		if c.Try < 10*f.Rules.Tick {
+			bad(key+".try", "%v leaves no time to decide: ten ticks (%v) at least are right", durationOf(c.Try), durationOf(10*f.Rules.Tick))
+		}
+		if c.Repeat == "keyed" && c.Window == 0 {
+			bad(key+".window", "is 0, and repeat = \"keyed\" needs the time in which repeats are recognised")
+		}
+		if len(c.Prefixes) == 0 && c.Header == "" && len(c.Priority) == 0 {
+			if rest++; rest > 1 {
+				bad(key, "has no prefixes, header or priority, and a class before it takes all the rest already")
+			}
+		}
+		if c.Header != "" && !strings.Contains(c.Header, ":") {
+			bad(key+".header", "%q: \"Name: value\" is right", c.Header)
+		}
+	}
+	errs = append(errs, checkServers(name, f.Server)...)
+	if len(f.Server) > 0 {
+		known := map[int]bool{}
+		for _, s := range f.Server {
+			known[s.Number] = true
+		}
+		for i, r := range f.Route {
+			if !known[r.Server] {
+				bad(fmt.Sprintf("route[%d].server", i), "%d is the number of no [[server]]", r.Server)
+			}
+		}
+	}
+	seen := map[string]bool{}
+	for i, r := range f.Route {
+		if seen[r.Prefix] {
+			bad(fmt.Sprintf("route[%d].prefix", i), "%q stands twice", r.Prefix)
+		}
+		seen[r.Prefix] = true
+	}
+	c := f.NodeConfig(1)
+	if _, err := larkrouter.New(c.Settings, 1); err != nil && len(errs) == 0 {
+		bad("rules", "%v", err)
+	}
+	return errs
+}
+
+func durationOf(d Duration) string {
+	b, _ := d.MarshalText()
+	return string(b)
+}
+
+// checkServers lets the list itself judge the entries, so that file and list server are held to the same.
+func checkServers(name string, servers []pool.Server) []error {
+	if len(servers) == 0 {
+		return nil
+	}
+	if _, err := pool.NewList().Apply(0, pool.Document{Version: 1, State: "full", Servers: servers}); err != nil {
+		return []error{fmt.Errorf("%s: server: %w", name, err)}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/demo/virtual_test.go
@@ -0,0 +1,71 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"larkrouter/internal/node"
+	"larkrouter/internal/rules"
+)
+
+func playVirtual(t *testing.T, opt Options, rec *Recorder) *Day {
+	t.Helper()
+	stage := NewVirtual(opt.Seed, rec)
+	d, err := New(opt, stage, rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Play(context.Background())
+	return d
+}
+
+// The scripted bad day in virtual time: the rules are kept, no server falls, nobody goes without an answer.
+func TestBadDayVirtual(t *testing.T) {
+	for seed := uint64(1); seed <= 6; seed++ {
+		rec := &Recorder{}
+		asserts := 0
+		rec.Log = func(_ string, now time.Duration, note any) {
+			if r, ok := note.(*node.Record); ok && r.Level >= node.Error {
+				asserts++
+				t.Logf("%v %+v", now, *r)
+			}
+		}
+		d := playVirtual(t, Options{Seed: seed, Rate: 40, Length: 30 * time.Second}, rec)
+		rep := rules.Check(rec.Records(), d.Figures(time.Millisecond))
+		for i, v := range rep.Rules {
+			if v.Breaks > 0 || v.Checks == 0 {
+				t.Errorf("seed %d: rule %d: %d checks, %d breaks: %q", seed, i+1, v.Checks, v.Breaks, v.Examples)
+			}
+		}
+		if d.Fallen() > 0 {
+			t.Errorf("seed %d: %d servers pushed over", seed, d.Fallen())
+		}
+		for i, c := range d.Callers.Counts {
+			if c.Offered == 0 || c.Unanswered > 0 {
+				t.Errorf("seed %d: class %d: %+v", seed, i, c)
+			}
+		}
+		w, s := d.Node.Open()
+		if w+s > 0 || d.Callers.Open() > 0 || asserts > 0 {
+			t.Errorf("seed %d: %d calls wait and %d stand at the end, %d open at callers, %d asserts", seed, w, s, d.Callers.Open(), asserts)
+		}
+		t.Logf("seed %d: served %.3f, %d records, %+v", seed, d.Callers.Served(), len(rec.Records()), d.Callers.Counts)
+	}
+}
+
+// The same seed gives the same capture to the byte.
+func TestSameSeedSameCapture(t *testing.T) {
+	var got [2]bytes.Buffer
+	for i := range got {
+		rec := &Recorder{}
+		playVirtual(t, Options{Seed: 7, Rate: 30, Length: 12 * time.Second}, rec)
+		if err := rules.Write(&got[i], rec.Records()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got[0].Len() < 1000 || !bytes.Equal(got[0].Bytes(), got[1].Bytes()) {
+		t.Fatalf("two runs of one seed differ: %d and %d bytes", got[0].Len(), got[1].Len())
+	}
+}
--- /dev/null
+++ b/internal/standin/callers.go
@@ -0,0 +1,346 @@
+package standin
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"larkrouter/internal/sip"
+	"larkrouter/internal/sip/transaction"
+	"larkrouter/internal/timers"
+)
+
+// CallerClass is a class of call as its callers make it.
+type CallerClass struct {
+	Name     string
+	Prefix   string // of the numbers called
+	Share    float64
+	Aim      time.Duration
+	Deadline time.Duration // all tries together
+	Try      time.Duration // a try is given up after this
+	Hold     time.Duration // mean length of a call
+	Worth    float64
+	Late     float64 // share of the worth after the aim
+}
+
+// CallersConfig describes a population of callers.
+type CallersConfig struct {
+	Seed      uint64
+	Address   netip.AddrPort
+	Node      netip.AddrPort
+	Rate      float64 // calls a second
+	Classes   []CallerClass
+	Redials   int           // further tries at the most
+	Back      time.Duration // mean wait before one, unless Retry-After says more
+	TCP       float64       // share of the calls by TCP
+	Impatient float64       // share of the calls that their caller leaves early
+	Large     float64       // share with a body over the datagram limit
+	Numbers   int           // how many numbers are called, by class
+}
+
+// ClassCounts are what became of a class's calls, each with all its tries.
+type ClassCounts struct {
+	Offered, InAim, Late, Refused, Failed, Unanswered, Left, Cut, Redials uint64
+}
+
+// Callers is a population of callers.
+type Callers struct {
+	base
+	cfg     CallersConfig
+	Counts  []ClassCounts
+	rate    float64
+	next    timers.Timer
+	stopped bool
+	calls   map[string]*dialled // by own tag
+	open    int
+	serial  uint64
+	SetUp   func(class int, d time.Duration) // told how long a try took to stand
+}
+
+// dialled is a call with its tries.
+type dialled struct {
+	class                  int
+	number                 string
+	caller                 string
+	first                  time.Duration
+	tries                  int
+	tcp                    bool
+	body                   []byte
+	tag                    string
+	callID                 string
+	req                    *sip.Message
+	tx                     *transaction.Client
+	sent                   time.Duration
+	to, tgt                string
+	peer                   sip.Peer
+	stood                  bool
+	done                   bool
+	leaving                bool
+	patience, hang, redial timers.Timer
+}
+
+// NewCallers makes a population. It dials from Start on, and stops with Stop.
+func NewCallers(cfg CallersConfig) *Callers {
+	c := &Callers{cfg: cfg, rate: cfg.Rate, calls: map[string]*dialled{}, Counts: make([]ClassCounts, len(cfg.Classes))}
+	if cfg.Numbers == 0 {
+		c.cfg.Numbers = 1000
+	}
+	c.init(cfg.Address, cfg.Seed, c)
+	return c
+}
+
+// Start implements actor.Actor.
+func (c *Callers) Start(now time.Duration) {
+	c.clock(now)
+	c.arrive()
+}
+
+// Rate changes how many calls a second are dialled; 0 pauses.
+func (c *Callers) Rate(r float64) {
+	c.rate = r
+	c.arrive()
+}
+
+// Stop ends dialling; calls that are open go on, redials included.
+func (c *Callers) Stop() {
+	c.stopped = true
+	c.heap.Stop(&c.next)
+}
+
+// Open is how many calls are dialled, wait for a further try or stand.
+func (c *Callers) Open() int { return c.open }
+
+// HangUpAll ends all standing calls now.
+func (c *Callers) HangUpAll() {
+	for _, tag := range slices.Sorted(maps.Keys(c.calls)) {
+		if d := c.calls[tag]; d != nil && d.stood {
+			c.bye(d)
+		}
+	}
+}
+
+func (c *Callers) arrive() {
+	if c.stopped || c.rate <= 0 {
+		c.heap.Stop(&c.next)
+		return
+	}
+	gap := time.Duration(c.rng.ExpFloat64() / c.rate * float64(time.Second))
+	c.heap.Set(&c.next, c.now+gap, func() {
+		c.Dial(c.pick())
+		c.arrive()
+	})
+}
+
+func (c *Callers) pick() int {
+	sum := 0.0
+	for _, cl := range c.cfg.Classes {
+		sum += cl.Share
+	}
+	x := c.rng.Float64() * sum
+	for i, cl := range c.cfg.Classes {
+		if x -= cl.Share; x < 0 {
+			return i
+		}
+	}
+	return len(c.cfg.Classes) - 1
+}
+
+// Dial starts a call of a class.
+func (c *Callers) Dial(class int) {
+	c.serial++
+	d := &dialled{class: class, first: c.now, tcp: c.rng.Float64() < c.cfg.TCP,
+		number: fmt.Sprintf("%s%05d", c.cfg.Classes[class].Prefix, c.rng.IntN(c.cfg.Numbers)),
+		caller: fmt.Sprintf("7%08d", c.serial)}
+	d.body = []byte("v=0\r\no=- 1 1 IN IP4 127.0.0.1\r\ns=-\r\nc=IN IP4 127.0.0.1\r\nt=0 0\r\nm=audio 4000 RTP/AVP 8\r\n")
+	if c.rng.Float64() < c.cfg.Large {
+		d.body = append(d.body, strings.Repeat("a=x-pad:0123456789012345678901234567890123456789\r\n", 30)...)
+	}
+	c.Counts[class].Offered++
+	c.open++
+	c.try(d)
+}
+
+func (c *Callers) try(d *dialled) {
+	cl := c.cfg.Classes[d.class]
+	t := sip.UDP
+	if d.tcp {
+		t = sip.TCP
+	}
+	d.tag, d.callID, d.sent, d.leaving = c.token(), c.token()+c.token(), c.now, false
+	node := sip.HostPort(c.cfg.Node)
+	m := sip.NewRequest(sip.INVITE, "sip:"+d.number+"@"+node, "<sip:"+d.caller+"@"+sip.HostPort(c.addr)+">;tag="+d.tag,
+		"<sip:"+d.number+"@"+node+">", d.callID, 1, 70)
+	m.Add("Contact", c.contact(t))
+	m.Add("Session-ID", d.tag+d.tag[:6]+d.tag+";remote=00000000000000000000000000000000")
+	if d.tries > 0 {
+		m.Add(sip.RedialHeader, strconv.Itoa(d.tries))
+		c.Counts[d.class].Redials++
+	}
+	m.Add("Content-Type", "application/sdp")
+	m.Body = d.body
+	m.Push("Via", c.via(t))
+	d.req = m
+	d.tries++
+	d.peer = sip.Peer{Transport: t, Addr: c.cfg.Node}
+	c.calls[d.tag] = d
+	d.tx = c.layer.Start(m, d.peer, d)
+	patience := cl.Try
+	if c.rng.Float64() < c.cfg.Impatient {
+		patience = time.Duration(c.rng.Float64() * float64(patience))
+		d.leaving = true
+	}
+	c.heap.Set(&d.patience, c.now+patience, func() { c.giveUp(d) })
+}
+
+func (c *Callers) giveUp(d *dialled) {
+	if d.stood || d.done {
+		return
+	}
+	if d.tx.Provisional() {
+		c.layer.Start(transaction.CancelFor(d.req), d.peer, nil)
+	}
+	d.tx.Quiet()
+	if d.leaving {
+		c.Counts[d.class].Left++
+	} else {
+		c.Counts[d.class].Unanswered++
+	}
+	c.finish(d)
+}
+
+func (c *Callers) finish(d *dialled) {
+	if d.done {
+		return
+	}
+	d.done = true
+	c.open--
+	c.heap.Stop(&d.patience)
+	c.heap.Stop(&d.hang)
+	delete(c.calls, d.tag)
+}
+
+// Response implements transaction.User.
+func (c *Callers) Response(t *transaction.Client, m *sip.Message) {
+	d, ok := t.User.(*dialled)
+	if !ok || m.Status < 200 || t != d.tx {
+		return
+	}
+	if m.Status < 300 {
+		c.stood(d, m)
+		return
+	}
+	if d.done {
+		return
+	}
+	c.heap.Stop(&d.patience)
+	delete(c.calls, d.tag)
+	cl := c.cfg.Classes[d.class]
+	wait := time.Duration((0.5 + c.rng.Float64()) * float64(c.cfg.Back))
+	if secs, err := strconv.Atoi(m.Get("Retry-After")); err == nil {
+		wait = max(wait, time.Duration(secs)*time.Second)
+	}
+	if d.tries <= c.cfg.Redials && c.now+wait+cl.Try < d.first+cl.Deadline && m.Status != 486 && m.Status != 487 {
+		c.heap.Set(&d.redial, c.now+wait, func() { c.try(d) })
+		return
+	}
+	if m.Status == 503 || m.Status == 480 {
+		c.Counts[d.class].Refused++
+	} else {
+		c.Counts[d.class].Failed++
+	}
+	c.finish(d)
+}
+
+func (c *Callers) stood(d *dialled, m *sip.Message) {
+	target := "sip:" + sip.HostPort(d.peer.Addr)
+	if a, err := sip.ParseAddress(m.Get("Contact")); err == nil {
+		target = a.URI.String()
+	}
+	d.to, d.tgt = m.Get("To"), target
+	c.send(d.peer, c.inDialog(d, sip.ACK, 1))
+	if d.stood {
+		return // a repeat of the 2xx
+	}
+	if d.done { // given up: the 2xx crossed the CANCEL
+		c.layer.Start(c.inDialog(d, sip.BYE, 2), d.peer, nil)
+		return
+	}
+	d.stood = true
+	c.heap.Stop(&d.patience)
+	cl := c.cfg.Classes[d.class]
+	if c.SetUp != nil {
+		c.SetUp(d.class, c.now-d.sent)
+	}
+	if c.now-d.first <= cl.Aim {
+		c.Counts[d.class].InAim++
+	} else {
+		c.Counts[d.class].Late++
+	}
+	c.heap.Set(&d.hang, c.now+time.Duration(c.rng.ExpFloat64()*float64(cl.Hold)), func() { c.bye(d) })
+}
+
+func (c *Callers) inDialog(d *dialled, method string, seq uint32) *sip.Message {
+	m := sip.NewRequest(method, d.tgt, d.req.Get("From"), d.to, d.callID, seq, 70)
+	m.Add("Session-ID", d.req.Get("Session-ID"))
+	m.Push("Via", c.via(d.peer.Transport))
+	return m
+}
+
+func (c *Callers) bye(d *dialled) {
+	if d.done {
+		return
+	}
+	c.layer.Start(c.inDialog(d, sip.BYE, 2), d.peer, nil)
+	c.finish(d)
+}
+
+// Request implements transaction.User: a BYE from the far side, or a request inside the dialog.
+func (c *Callers) Request(t *transaction.Server, m *sip.Message, _ sip.Peer) {
+	if t == nil {
+		return
+	}
+	d := c.calls[m.Tag("To")]
+	if d == nil || !d.stood {
+		t.Respond(sip.NewResponse(m, 481, "", ""))
+		return
+	}
+	t.Respond(sip.NewResponse(m, 200, "", ""))
+	if m.Method == sip.BYE {
+		if m.Has("Reason") {
+			c.Counts[d.class].Cut++
+		}
+		c.finish(d)
+	}
+}
+
+// Stray implements transaction.User.
+func (c *Callers) Stray(*sip.Message, sip.Peer) {}
+
+// TimedOut implements transaction.User.
+func (c *Callers) TimedOut(t *transaction.Client, _ error) {
+	if d, ok := t.User.(*dialled); ok && t == d.tx && !d.stood && !d.done {
+		c.Counts[d.class].Unanswered++
+		c.finish(d)
+	}
+}
+
+// Unacked implements transaction.User.
+func (c *Callers) Unacked(*transaction.Server, error) {}
+
+// Served is the worth of the calls that stood in time and were not cut, over the worth offered.
+func (c *Callers) Served() float64 {
+	var got, all float64
+	for i, n := range c.Counts {
+		cl := c.cfg.Classes[i]
+		got += cl.Worth * (float64(n.InAim) + cl.Late*float64(n.Late) - float64(n.Cut))
+		all += cl.Worth * float64(n.Offered-n.Left)
+	}
+	if all == 0 {
+		return 1
+	}
+	return max(0, got) / all
+}
--- /dev/null
+++ b/internal/standin/list.go
@@ -0,0 +1,196 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"larkrouter/internal/pool"
+	"larkrouter/internal/sip"
+	"larkrouter/internal/sip/transaction"
+	"larkrouter/internal/timers"
+)
+
+// ListConfig describes a list server.
+type ListConfig struct {
+	Seed    uint64
+	Address netip.AddrPort
+	Lag     time.Duration // news leave so late
+	Expires time.Duration // longest subscription granted
+}
+
+// ListServer is a notifier (RFC 6665) of the pool list.
+type ListServer struct {
+	base
+	cfg     ListConfig
+	version uint64
+	servers map[uint32]pool.Server
+	started map[uint32]time.Duration
+	subs    map[string]*watcher // by own tag
+	Skip    int                 // so many partial documents are left out for everyone, as a fault
+	Refuse  bool                // SUBSCRIBEs are answered 503
+	Notices int
+}
+
+type watcher struct {
+	tag, callID, remote, local, target string
+	to                                 sip.Peer
+	seq                                uint32
+	until                              time.Duration
+	expiry                             timers.Timer
+}
+
+// NewList makes a list server that knows some servers.
+func NewList(cfg ListConfig, servers ...pool.Server) *ListServer {
+	l := &ListServer{cfg: cfg, version: 1, servers: map[uint32]pool.Server{}, started: map[uint32]time.Duration{},
+		subs: map[string]*watcher{}}
+	l.init(cfg.Address, cfg.Seed, l)
+	for _, s := range servers {
+		l.servers[s.ID] = s
+	}
+	return l
+}
+
+// SetVersion lets the versions go on from another number, as after a restart from an old copy.
+func (l *ListServer) SetVersion(v uint64) { l.version = v }
+
+// Set takes a server's entry; the news of it leave after the lag. A new Run is a start at this time.
+func (l *ListServer) Set(s pool.Server) {
+	if old, ok := l.servers[s.ID]; s.Run != 0 && (!ok || old.Run != s.Run) {
+		l.started[s.ID] = l.now
+	}
+	var t timers.Timer
+	l.heap.Set(&t, l.now+l.cfg.Lag, func() {
+		l.servers[s.ID] = s
+		l.version++
+		if l.Skip > 0 {
+			l.Skip--
+			return
+		}
+		l.notifyAll(pool.Document{Version: l.version, State: "partial", Servers: []pool.Server{l.entry(s)}})
+	})
+}
+
+// Get is a server's entry as the list has it.
+func (l *ListServer) Get(id uint32) pool.Server { return l.servers[id] }
+
+func (l *ListServer) entry(s pool.Server) pool.Server {
+	if at, ok := l.started[s.ID]; ok {
+		s.AgeMs = max(1, (l.now - at).Milliseconds())
+	}
+	return s
+}
+
+func (l *ListServer) full() pool.Document {
+	d := pool.Document{Version: l.version, State: "full"}
+	for _, s := range l.servers {
+		d.Servers = append(d.Servers, l.entry(s))
+	}
+	slices.SortFunc(d.Servers, func(a, b pool.Server) int { return int(int64(a.ID) - int64(b.ID)) })
+	return d
+}
+
+func (l *ListServer) notifyAll(d pool.Document) {
+	tags := make([]string, 0, len(l.subs))
+	for tag := range l.subs {
+		tags = append(tags, tag)
+	}
+	slices.Sort(tags)
+	for _, tag := range tags {
+		l.notify(l.subs[tag], &d, "")
+	}
+}
+
+func (l *ListServer) notify(w *watcher, d *pool.Document, ended string) {
+	w.seq++
+	l.Notices++
+	m := sip.NewRequest(sip.NOTIFY, w.target, w.local, w.remote, w.callID, w.seq, 70)
+	m.Add("Event", pool.Event)
+	state := "active;expires=" + strconv.Itoa(int(max(1, (w.until-l.now)/time.Second)))
+	if ended != "" {
+		state = "terminated;reason=" + ended
+	}
+	m.Add("Subscription-State", state)
+	m.Add("Contact", l.contact(w.to.Transport))
+	if d != nil {
+		m.Add("Content-Type", pool.ContentType)
+		m.Body, _ = json.Marshal(d)
+	}
+	m.Push("Via", l.via(w.to.Transport))
+	l.layer.Start(m, w.to, w)
+}
+
+// Request implements transaction.User.
+func (l *ListServer) Request(t *transaction.Server, m *sip.Message, _ sip.Peer) {
+	switch {
+	case t == nil:
+		return
+	case m.Method != sip.SUBSCRIBE:
+		t.Respond(sip.NewResponse(m, 405, "", l.token()))
+		return
+	case m.Get("Event") != pool.Event:
+		t.Respond(sip.NewResponse(m, 489, "", l.token()))
+		return
+	case l.Refuse:
+		t.Respond(sip.NewResponse(m, 503, "", l.token()))
+		return
+	}
+	secs, _ := strconv.Atoi(m.Get("Expires"))
+	expires := min(time.Duration(secs)*time.Second, l.cfg.Expires)
+	w := l.subs[m.Tag("To")]
+	if w == nil && m.Tag("To") != "" {
+		t.Respond(sip.NewResponse(m, 481, "", ""))
+		return
+	}
+	if w == nil {
+		w = &watcher{tag: l.token(), callID: m.Get("Call-ID"), remote: m.Get("From"), to: t.From}
+		w.local = m.Get("To") + ";tag=" + w.tag
+		w.target = "sip:" + sip.HostPort(t.From.Addr)
+		if c, err := sip.ParseAddress(m.Get("Contact")); err == nil {
+			w.target = c.URI.String()
+			if p, ok := c.URI.Peer(); ok && t.From.Transport == sip.UDP {
+				w.to = p
+			}
+		}
+		l.subs[w.tag] = w
+	}
+	w.until = l.now + expires
+	r := sip.NewResponse(m, 200, "", w.tag)
+	r.Add("Expires", strconv.Itoa(int(expires/time.Second)))
+	r.Add("Contact", l.contact(t.From.Transport))
+	t.Respond(r)
+	if expires <= 0 {
+		l.notify(w, nil, "timeout")
+		delete(l.subs, w.tag)
+		l.heap.Stop(&w.expiry)
+		return
+	}
+	d := l.full()
+	l.notify(w, &d, "")
+	l.heap.Set(&w.expiry, w.until+time.Second, func() { delete(l.subs, w.tag) })
+}
+
+// Watchers is how many subscriptions stand.
+func (l *ListServer) Watchers() int { return len(l.subs) }
+
+// Response implements transaction.User.
+func (l *ListServer) Response(c *transaction.Client, m *sip.Message) {
+	if w, ok := c.User.(*watcher); ok && m.Status == 481 {
+		delete(l.subs, w.tag)
+	}
+}
+
+// Stray implements transaction.User.
+func (l *ListServer) Stray(*sip.Message, sip.Peer) {}
+
+// TimedOut implements transaction.User.
+func (l *ListServer) TimedOut(c *transaction.Client, _ error) {
+	if w, ok := c.User.(*watcher); ok {
+		delete(l.subs, w.tag)
+	}
+}
+
+// Unacked implements transaction.User.
+func (l *ListServer) Unacked(*transaction.Server, error) {}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,436 @@
+package standin
+
+import (
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"larkrouter/internal/sip"
+	"larkrouter/internal/sip/transaction"
+	"larkrouter/internal/timers"
+)
+
+// ServerConfig describes a call server. Work is the time that its processor takes at full speed.
+type ServerConfig struct {
+	Seed        uint64
+	Address     netip.AddrPort
+	SetUp       time.Duration // work of a set-up
+	Release     time.Duration // work of a release
+	Refusal     time.Duration // work of turning a set-up away
+	Repeat      time.Duration // work of a repeated set-up
+	MaxWait     time.Duration // a set-up that would wait longer is turned away
+	ColdShare   float64       // share of its capacity just after a start
+	RampTime    time.Duration // until it is warm
+	TipMultiple float64       // more than this multiple of what it can do, for OverloadFor, brings it down
+	OverloadFor time.Duration
+	Cold        bool          // it starts cold
+	Ring        bool          // a 180 goes out when the set-up is taken up
+	HangUp      float64       // share of the calls that the server ends
+	Hold        time.Duration // and after which time, on average
+	Busy        float64       // share of the set-ups that are answered 486
+}
+
+// ServerCounts are what a call server saw.
+type ServerCounts struct {
+	SetUps, Stood, TurnedAway, Cancelled, Released, Repeats, Lost, Unacked uint64
+}
+
+// CallServer is a call server with one processor that serves in order, set-ups before releases.
+type CallServer struct {
+	base
+	cfg      ServerConfig
+	Count    ServerCounts
+	Over     bool // it has been pushed over and answers nothing more
+	OverAt   time.Duration
+	started  time.Duration
+	slow     float64
+	stallTo  time.Duration
+	loss     float64 // share of responses that are lost
+	busy     bool
+	busyTo   time.Duration
+	setups   []*session
+	releases []job
+	work     timers.Timer
+	byTag    map[string]*session
+	arrivals []time.Duration // of set-ups while cold
+	held     []sip.Packet    // unread in a stall
+	wake     timers.Timer
+	lastWait time.Duration
+}
+
+type job struct {
+	work time.Duration
+	done func()
+}
+
+type session struct {
+	tx      *transaction.Server
+	req     *sip.Message
+	tag     string
+	taken   time.Duration
+	over    bool
+	ok      *sip.Message
+	gap     time.Duration
+	until   time.Duration
+	repeat  timers.Timer
+	hang    timers.Timer
+	peerTag string
+	seq     uint32
+	cost    time.Duration
+}
+
+// NewServer makes a call server.
+func NewServer(cfg ServerConfig) *CallServer {
+	s := &CallServer{cfg: cfg, slow: 1, byTag: map[string]*session{}}
+	s.init(cfg.Address, cfg.Seed, s)
+	s.lose = func(m *sip.Message) bool {
+		if s.Over {
+			return true
+		}
+		if s.loss > 0 && !m.IsRequest() && s.rng.Float64() < s.loss {
+			s.Count.Lost++
+			return true
+		}
+		return false
+	}
+	return s
+}
+
+// Start implements actor.Actor.
+func (s *CallServer) Start(now time.Duration) {
+	s.clock(now)
+	s.started = now
+	if !s.cfg.Cold {
+		s.started = now - s.cfg.RampTime
+	}
+}
+
+// Slow makes the processor slower by a factor; 1 ends that.
+func (s *CallServer) Slow(factor float64) { s.slow = max(factor, 0.01) }
+
+// LoseAnswers lets a share of all responses get lost before they reach the socket.
+func (s *CallServer) LoseAnswers(share float64) { s.loss = share }
+
+// Stall lets the server stand still until a time: it reads nothing and does nothing.
+func (s *CallServer) Stall(until time.Duration) {
+	s.stallTo = until
+	s.heap.Set(&s.wake, until, func() {
+		held := s.held
+		s.held = nil
+		for _, p := range held {
+			s.base.Receive(s.now, p)
+		}
+		s.run()
+	})
+}
+
+// Receive implements actor.Actor.
+func (s *CallServer) Receive(now time.Duration, p sip.Packet) {
+	s.clock(now)
+	switch {
+	case s.Over:
+	case now < s.stallTo:
+		s.held = append(s.held, p)
+	default:
+		s.base.Receive(now, p)
+	}
+}
+
+// Speed is what the processor does now, as a share of its capacity.
+func (s *CallServer) Speed() float64 {
+	warm := 1.0
+	if s.cfg.RampTime > 0 {
+		warm = min(1, float64(s.now-s.started)/float64(s.cfg.RampTime))
+	}
+	return (s.cfg.ColdShare + (1-s.cfg.ColdShare)*warm) / s.slow
+}
+
+// Wait is how long a set-up that comes now will wait.
+func (s *CallServer) Wait() time.Duration {
+	var sum time.Duration
+	for _, c := range s.setups {
+		sum += c.cost
+	}
+	wait := time.Duration(float64(sum) / s.Speed())
+	if s.busy {
+		wait += max(0, s.busyTo-s.now)
+	}
+	return wait
+}
+
+// Capacity is the set-ups a second that a warm server of this configuration can take, releases included.
+func (c ServerConfig) Capacity() float64 {
+	return float64(time.Second) / float64(c.SetUp+c.Release)
+}
+
+// pushed notes a set-up that came, and whether the cold processor falls over by it: more than the multiple of what it
+// can do came within the time.
+func (s *CallServer) pushed() {
+	if s.cfg.TipMultiple <= 0 || s.now-s.started >= s.cfg.RampTime {
+		return
+	}
+	s.arrivals = append(s.arrivals, s.now)
+	from := s.now - s.cfg.OverloadFor
+	n := 0
+	for _, at := range s.arrivals {
+		if at > from {
+			n++
+		}
+	}
+	span := min(s.cfg.OverloadFor, s.now-s.started)
+	if span < s.cfg.OverloadFor/2 {
+		span = s.cfg.OverloadFor / 2
+	}
+	budget := s.cfg.TipMultiple * s.Speed() * s.slow * s.cfg.Capacity() * span.Seconds()
+	if float64(n) > budget+4 {
+		s.Over, s.OverAt = true, s.now
+	}
+}
+
+// Request implements transaction.User.
+func (s *CallServer) Request(t *transaction.Server, m *sip.Message, from sip.Peer) {
+	switch m.Method {
+	case sip.ACK:
+		if c := s.byTag[m.Tag("To")]; c != nil && c.ok != nil {
+			s.heap.Stop(&c.repeat)
+			c.ok.Body = nil
+		}
+	case sip.INVITE:
+		if m.Tag("To") != "" {
+			s.again(t, m)
+		} else {
+			s.invite(t, m)
+		}
+	case sip.CANCEL:
+		t.Respond(sip.NewResponse(m, 200, "", s.token()))
+		if i := s.layer.Matching(m); i != nil {
+			if c, ok := i.User.(*session); ok && !c.over && c.ok == nil {
+				s.Count.Cancelled++
+				c.over = true
+				s.drop(c)
+				c.tx.Respond(s.response(c.req, 487, c.tag))
+			}
+		}
+	case sip.BYE:
+		s.bye(t, m)
+	case sip.OPTIONS:
+		t.Respond(s.response(m, 200, s.token()))
+	default:
+		if c := s.byTag[m.Tag("To")]; c != nil {
+			r := s.response(m, 200, "")
+			r.Body = m.Body
+			t.Respond(r)
+			return
+		}
+		t.Respond(s.response(m, 481, s.token()))
+	}
+}
+
+func (s *CallServer) response(req *sip.Message, status int, tag string) *sip.Message {
+	r := sip.NewResponse(req, status, "", tag)
+	r.Add(sip.LatencyHeader, strconv.FormatFloat(float64(s.lastWait)/1e6, 'f', 1, 64))
+	return r
+}
+
+func (s *CallServer) invite(t *transaction.Server, m *sip.Message) {
+	s.Count.SetUps++
+	s.pushed()
+	wait := s.Wait()
+	s.lastWait = wait
+	if s.cfg.MaxWait > 0 && wait > s.cfg.MaxWait {
+		s.Count.TurnedAway++
+		s.releases = append(s.releases, job{s.cfg.Refusal, func() {}})
+		s.run()
+		r := s.response(m, 503, s.token())
+		r.Add("Retry-After", strconv.Itoa(int(wait/time.Second)+1))
+		t.Respond(r)
+		return
+	}
+	seq, _, _ := m.CSeq()
+	c := &session{tx: t, req: m, tag: s.token(), taken: s.now, peerTag: m.Tag("From"), seq: seq, cost: s.cfg.SetUp}
+	t.User = c
+	t.Respond(s.response(m, 100, ""))
+	s.setups = append(s.setups, c)
+	s.run()
+}
+
+// again answers a re-INVITE: the session is as it was.
+func (s *CallServer) again(t *transaction.Server, m *sip.Message) {
+	c := s.byTag[m.Tag("To")]
+	if c == nil {
+		t.Respond(s.response(m, 481, ""))
+		return
+	}
+	r := s.response(m, 200, "")
+	r.Add("Contact", s.contact(t.From.Transport))
+	r.Body = m.Body
+	if len(r.Body) > 0 {
+		r.Add("Content-Type", "application/sdp")
+	}
+	c.ok, c.tx = r, t
+	t.Respond(r)
+	s.guard(c)
+}
+
+func (s *CallServer) drop(c *session) {
+	for i, o := range s.setups {
+		if o == c {
+			s.setups = append(s.setups[:i], s.setups[i+1:]...)
+			return
+		}
+	}
+}
+
+// run gives the processor its next work.
+func (s *CallServer) run() {
+	if s.busy || s.Over || s.now < s.stallTo {
+		return
+	}
+	var work time.Duration
+	var done func()
+	switch {
+	case len(s.setups) > 0:
+		c := s.setups[0]
+		s.setups = s.setups[1:]
+		work = c.cost
+		if n := c.tx.Repeats; n > 0 && s.cfg.Repeat > 0 {
+			s.Count.Repeats += uint64(n)
+			work += time.Duration(n) * s.cfg.Repeat
+		}
+		if s.cfg.Ring {
+			r := s.response(c.req, 180, c.tag)
+			r.Add("Contact", s.contact(c.tx.From.Transport))
+			c.tx.Respond(r)
+		}
+		done = func() { s.stood(c) }
+	case len(s.releases) > 0:
+		work, done = s.releases[0].work, s.releases[0].done
+		s.releases = s.releases[1:]
+	default:
+		return
+	}
+	s.busy = true
+	s.busyTo = s.now + time.Duration(float64(work)/s.Speed())
+	s.heap.Set(&s.work, s.busyTo, func() {
+		if s.now < s.stallTo {
+			s.heap.Set(&s.work, s.stallTo, func() { s.busy = false; done(); s.run() })
+			return
+		}
+		s.busy = false
+		done()
+		s.run()
+	})
+}
+
+func (s *CallServer) stood(c *session) {
+	if c.over {
+		return
+	}
+	s.lastWait = s.now - c.taken
+	if s.cfg.Busy > 0 && s.rng.Float64() < s.cfg.Busy {
+		c.over = true
+		c.tx.Respond(s.response(c.req, 486, c.tag))
+		return
+	}
+	s.Count.Stood++
+	r := s.response(c.req, 200, c.tag)
+	r.Add("Contact", s.contact(c.tx.From.Transport))
+	if len(c.req.Body) > 0 {
+		r.Add("Content-Type", "application/sdp")
+		r.Body = c.req.Body
+	}
+	s.byTag[c.tag] = c
+	c.ok = r
+	c.tx.Respond(r)
+	s.guard(c)
+	if s.cfg.HangUp > 0 && s.rng.Float64() < s.cfg.HangUp {
+		s.heap.Set(&c.hang, s.now+time.Duration(s.rng.ExpFloat64()*float64(s.cfg.Hold)), func() { s.hangUp(c, "") })
+	}
+}
+
+// guard repeats the 2xx until its ACK comes.
+func (s *CallServer) guard(c *session) {
+	c.gap, c.until = s.layer.Times.T1, s.now+64*s.layer.Times.T1
+	var again func()
+	again = func() {
+		if s.now >= c.until || c.over {
+			s.Count.Unacked++
+			s.end(c)
+			return
+		}
+		c.gap = min(2*c.gap, s.layer.Times.T2)
+		c.tx.Respond(c.ok)
+		s.heap.Set(&c.repeat, s.now+c.gap, again)
+	}
+	s.heap.Set(&c.repeat, s.now+c.gap, again)
+}
+
+func (s *CallServer) end(c *session) {
+	c.over = true
+	s.heap.Stop(&c.repeat)
+	s.heap.Stop(&c.hang)
+	delete(s.byTag, c.tag)
+}
+
+func (s *CallServer) bye(t *transaction.Server, m *sip.Message) {
+	c := s.byTag[m.Tag("To")]
+	if c == nil || c.peerTag != m.Tag("From") {
+		t.Respond(s.response(m, 481, ""))
+		return
+	}
+	s.end(c)
+	s.releases = append(s.releases, job{s.cfg.Release, func() {
+		s.Count.Released++
+		t.Respond(s.response(m, 200, ""))
+	}})
+	s.run()
+}
+
+// hangUp ends a standing call from the server's side.
+func (s *CallServer) hangUp(c *session, reason string) {
+	if c.over {
+		return
+	}
+	target := "sip:" + sip.HostPort(c.tx.From.Addr)
+	if a, err := sip.ParseAddress(c.req.Get("Contact")); err == nil {
+		target = a.URI.String()
+	}
+	from := c.req.Get("To") + ";tag=" + c.tag
+	b := sip.NewRequest(sip.BYE, target, from, c.req.Get("From"), c.req.Get("Call-ID"), 1, 70)
+	b.Add("Session-ID", c.req.Get("Session-ID"))
+	if reason != "" {
+		b.Add("Reason", reason)
+	}
+	b.Push("Via", s.via(c.tx.From.Transport))
+	s.layer.Start(b, c.tx.From, nil)
+	s.end(c)
+}
+
+// Standing is how many calls stand there.
+func (s *CallServer) Standing() int { return len(s.byTag) }
+
+// CutAll ends all standing calls, as a drained server does when it stops.
+func (s *CallServer) CutAll() {
+	var all []*session
+	for _, c := range s.byTag {
+		all = append(all, c)
+	}
+	slices.SortFunc(all, func(a, b *session) int { return strings.Compare(a.tag, b.tag) })
+	for _, c := range all {
+		s.hangUp(c, "SIP;cause=503;text=\"stopping\"")
+	}
+}
+
+// Response implements transaction.User.
+func (s *CallServer) Response(*transaction.Client, *sip.Message) {}
+
+// Stray implements transaction.User.
+func (s *CallServer) Stray(*sip.Message, sip.Peer) {}
+
+// TimedOut implements transaction.User.
+func (s *CallServer) TimedOut(*transaction.Client, error) {}
+
+// Unacked implements transaction.User.
+func (s *CallServer) Unacked(*transaction.Server, error) {}
--- /dev/null
+++ b/internal/virtual/net.go
@@ -0,0 +1,274 @@
+// Package virtual is a network and a clock that exist only in numbers: actors on it exchange messages with delay and
+// loss, in an order that depends on nothing but the input. Messages go through the codec, as they would on a wire.
+package virtual
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"larkrouter/internal/actor"
+	"larkrouter/internal/sip"
+)
+
+// Net drives actors in virtual time.
+type Net struct {
+	Delay  time.Duration // one way
+	Jitter time.Duration // more, at the most, drawn evenly
+	// Drop, if set, says whether a datagram is lost on its way.
+	Drop  func(now time.Duration, from, to netip.AddrPort, m *sip.Message) bool
+	rng   *rand.Rand
+	now   time.Duration
+	queue events
+	seq   uint64
+	hosts map[string]*host
+	order []*host
+	at    map[netip.AddrPort]*host
+	conns map[uint64]*conn
+	count uint64
+}
+
+// host is an actor with its addresses.
+type host struct {
+	name   string
+	act    actor.Actor
+	addrs  []netip.AddrPort
+	tap    actor.Tap
+	note   func(now time.Duration, note any)
+	up     bool
+	stall  time.Duration // nothing is read or done before
+	wake   uint64        // number of the valid wake event
+	inTurn []func()
+}
+
+type conn struct {
+	id   uint64
+	ends [2]*host
+	port [2]netip.AddrPort
+	open bool
+}
+
+type event struct {
+	at  time.Duration
+	seq uint64
+	fn  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*e = old[:len(old)-1]
+	return x
+}
+
+// New makes a network whose draws come from the seed alone.
+func New(seed uint64) *Net {
+	return &Net{Delay: time.Millisecond, rng: rand.New(rand.NewPCG(seed, 0x6e6574)), hosts: map[string]*host{},
+		at: map[netip.AddrPort]*host{}, conns: map[uint64]*conn{}, now: time.Second}
+}
+
+// Now is the virtual time; it begins at one second.
+func (n *Net) Now() time.Duration { return n.now }
+
+// Add puts an actor on the network and starts it. A name that exists already is a restart at the same addresses.
+func (n *Net) Add(name string, a actor.Actor, tap actor.Tap, note func(time.Duration, any), addrs ...netip.AddrPort) {
+	n.Kill(name)
+	h := &host{name: name, act: a, addrs: addrs, tap: tap, note: note, up: true}
+	n.hosts[name] = h
+	n.order = append(n.order, h)
+	for _, ap := range addrs {
+		n.at[ap] = h
+	}
+	n.At(n.now, func() {
+		a.Start(n.now)
+		n.turn(h)
+	})
+}
+
+// Kill takes an actor off the network without a word: datagrams to it are refused, its connections break.
+func (n *Net) Kill(name string) {
+	h := n.hosts[name]
+	if h == nil || !h.up {
+		return
+	}
+	h.up = false
+	for _, ap := range h.addrs {
+		if n.at[ap] == h {
+			delete(n.at, ap)
+		}
+	}
+	for id := uint64(1); id <= n.count; id++ {
+		c := n.conns[id]
+		if c == nil || !c.open || c.ends[0] != h && c.ends[1] != h {
+			continue
+		}
+		c.open = false
+		delete(n.conns, id)
+		other, end := c.ends[0], 0
+		if other == h {
+			other, end = c.ends[1], 1
+		}
+		peer := sip.Peer{Transport: sip.TCP, Addr: c.port[1-end], Conn: c.id}
+		n.At(n.now+n.Delay, func() { n.deliver(other, func() { other.act.Lost(n.now, peer, sip.ErrLost) }) })
+	}
+}
+
+// Stall keeps an actor from doing anything for a while; what comes waits.
+func (n *Net) Stall(name string, d time.Duration) {
+	if h := n.hosts[name]; h != nil && h.up {
+		h.stall = n.now + d
+		n.At(h.stall, func() { n.turn(h) })
+	}
+}
+
+// At runs a function at a time.
+func (n *Net) At(at time.Duration, fn func()) {
+	n.seq++
+	heap.Push(&n.queue, event{max(at, n.now), n.seq, fn})
+}
+
+// Do runs a function as part of an actor's turn.
+func (n *Net) Do(name string, fn func(now time.Duration)) {
+	if h := n.hosts[name]; h != nil && h.up {
+		n.deliver(h, func() { fn(n.now) })
+	}
+}
+
+// Run goes on until a time, then stops with all events up to it done.
+func (n *Net) Run(until time.Duration) {
+	for len(n.queue) > 0 && n.queue[0].at <= until {
+		e := heap.Pop(&n.queue).(event)
+		n.now = e.at
+		e.fn()
+	}
+	n.now = max(n.now, until)
+}
+
+// deliver hands input over in a turn; while the actor stalls it waits with the rest.
+func (n *Net) deliver(h *host, fn func()) {
+	if !h.up {
+		return
+	}
+	h.inTurn = append(h.inTurn, fn)
+	n.turn(h)
+}
+
+func (n *Net) turn(h *host) {
+	if !h.up || n.now < h.stall {
+		return
+	}
+	for _, fn := range h.inTurn {
+		fn()
+	}
+	h.inTurn = h.inTurn[:0]
+	h.act.Advance(n.now)
+	h.act.Take(func(e actor.Effect) {
+		if e.Send != nil {
+			n.send(h, e.To, e.Send)
+		} else if h.note != nil {
+			h.note(n.now, e.Note)
+		}
+	})
+	h.wake++
+	if at, ok := h.act.Next(); ok {
+		mine := h.wake
+		n.At(at, func() {
+			if h.wake == mine {
+				n.turn(h)
+			}
+		})
+	}
+}
+
+func (n *Net) later() time.Duration {
+	d := n.now + n.Delay
+	if n.Jitter > 0 {
+		d += time.Duration(n.rng.Int64N(int64(n.Jitter)))
+	}
+	return d
+}
+
+func (n *Net) send(h *host, to sip.Peer, m *sip.Message) {
+	if h.tap != nil {
+		h.tap(n.now, actor.Out, to, m)
+	}
+	raw := m.Bytes()
+	read := func(dst *host, from sip.Peer) {
+		n.deliver(dst, func() {
+			msg, err := sip.Parse(raw, sip.Limits{})
+			if err == nil && dst.tap != nil {
+				dst.tap(n.now, actor.In, from, msg)
+			}
+			dst.act.Receive(n.now, sip.Packet{Peer: from, Msg: msg, Err: err})
+		})
+	}
+	if to.Transport == sip.UDP {
+		src := h.addrs[0]
+		if n.Drop != nil && n.Drop(n.now, src, to.Addr, m) {
+			return
+		}
+		n.At(n.later(), func() {
+			dst := n.at[to.Addr]
+			if dst == nil {
+				n.At(n.later(), func() {
+					n.deliver(h, func() { h.act.Lost(n.now, to, fmt.Errorf("%v: %w", to, sip.ErrRefused)) })
+				})
+				return
+			}
+			read(dst, sip.Peer{Addr: src})
+		})
+		return
+	}
+	c := n.connection(h, to)
+	if c == nil {
+		n.At(n.later(), func() {
+			n.deliver(h, func() { h.act.Lost(n.now, to, fmt.Errorf("%v: %w", to, sip.ErrRefused)) })
+		})
+		return
+	}
+	end := 0
+	if c.ends[1] == h && c.ends[0] != h {
+		end = 1
+	}
+	dst, from := c.ends[1-end], sip.Peer{Transport: sip.TCP, Addr: c.port[end], Conn: c.id}
+	n.At(n.now+n.Delay, func() { // in order: no jitter on a connection
+		if c.open {
+			read(dst, from)
+		}
+	})
+}
+
+func (n *Net) connection(h *host, to sip.Peer) *conn {
+	if to.Conn != 0 {
+		if c := n.conns[to.Conn]; c != nil && c.open {
+			return c
+		}
+		return nil
+	}
+	for id := uint64(1); id <= n.count; id++ {
+		if c := n.conns[id]; c != nil && c.open && c.ends[0] == h && c.port[1] == to.Addr {
+			return c
+		}
+	}
+	dst := n.at[to.Addr]
+	if dst == nil {
+		return nil
+	}
+	n.count++
+	c := &conn{id: n.count, ends: [2]*host{h, dst}, open: true}
+	c.port[0] = netip.AddrPortFrom(h.addrs[0].Addr(), uint16(20000+n.count%40000))
+	c.port[1] = to.Addr
+	n.conns[c.id] = c
+	return c
+}
