--- /dev/null
+++ b/cmd/larkrouter/main.go
@@ -0,0 +1,34 @@
+// Command larkrouter is the call router: the daemon and its tools.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+type cli struct {
+	Serve   serveCmd   `cmd:"" help:"Run the node."`
+	Check   checkCmd   `cmd:"" help:"Check a configuration file and say what it makes of the node."`
+	Demo    demoCmd    `cmd:"" help:"Play a scripted bad day on loopback around a real node, and check the five rules."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+// errSilent ends the program with status 1 where all has been said.
+var errSilent = errors.New("")
+
+func main() {
+	var c cli
+	parser := kong.Must(&c, kong.Name("larkrouter"), kong.UsageOnError(),
+		kong.Description("A SIP call router: takes calls over UDP and TCP and sets them up at shared call servers."))
+	ctx, err := parser.Parse(os.Args[1:])
+	parser.FatalIfErrorf(err)
+	if err := ctx.Run(); err != nil {
+		if err != errSilent {
+			fmt.Fprintln(os.Stderr, "larkrouter:", err)
+		}
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/larkrouter/serve.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"larkrouter/internal/config"
+	"larkrouter/internal/daemon"
+)
+
+type serveCmd struct {
+	Config string `short:"c" required:"" type:"path" help:"Configuration file (TOML)."`
+}
+
+func (c *serveCmd) Run() error {
+	f, err := config.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return fmt.Errorf("drawing a seed: %w", err)
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	_, err = daemon.Serve(context.Background(), f, binary.LittleEndian.Uint64(b[:]), daemon.Logger(f.Log, os.Stderr), signals)
+	return err
+}
+
+type checkCmd struct {
+	Config string `short:"c" required:"" type:"path" help:"Configuration file (TOML)."`
+}
+
+func (c *checkCmd) Run() error {
+	f, err := config.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	fmt.Print(daemon.Describe(f))
+	fmt.Printf("%s is right\n", c.Config)
+	return nil
+}
+
+type versionCmd struct{}
+
+func (versionCmd) Run() error {
+	version, revision := "(devel)", ""
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				revision = " " + s.Value
+			}
+		}
+	}
+	fmt.Printf("larkrouter %s%s\n", version, revision)
+	return nil
+}
