--- a/cmd/larkrouter/serve.go
+++ b/cmd/larkrouter/serve.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
+	"runtime/pprof"
 	"syscall"
 
 	"larkrouter/internal/config"
@@ -15,10 +17,22 @@
 )
 
 type serveCmd struct {
-	Config string `short:"c" required:"" type:"path" help:"Configuration file (TOML)."`
+	Config     string `short:"c" required:"" type:"path" help:"Configuration file (TOML)."`
+	CpuProfile string `type:"path" help:"Write a CPU profile to this file until the node stops."`
 }
 
 func (c *serveCmd) Run() error {
+	if c.CpuProfile != "" {
+		out, err := os.Create(c.CpuProfile)
+		if err != nil {
+			return err
+		}
+		defer out.Close()
+		if err := pprof.StartCPUProfile(out); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
 	f, err := config.Load(c.Config)
 	if err != nil {
 		return err
@@ -29,7 +43,15 @@
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	_, err = daemon.Serve(context.Background(), f, binary.LittleEndian.Uint64(b[:]), daemon.Logger(f.Log, os.Stderr), signals)
+	if os.Getenv("GOMAXPROCS") == "" {
+		runtime.GOMAXPROCS(f.Node.Processors)
+	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(200)
+	}
+	log, flush := daemon.Logger(f.Log, os.Stderr)
+	defer flush()
+	_, err = daemon.Serve(context.Background(), f, binary.LittleEndian.Uint64(b[:]), log, signals)
 	return err
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -45,6 +45,8 @@
 // Node names this node.
 type Node struct {
 	Seed uint64 `toml:"seed"` // of all random draws; 0: from the system at start
+	// Processors that the node uses at once. One loop owns all calls, so that more of them add hand-overs, not speed.
+	Processors int `toml:"processors" validate:"gte=1"`
 }
 
 // Listen says where the node takes and sends messages.
@@ -144,6 +146,7 @@
 func defaults() File {
 	ms := func(n int) Duration { return Duration(time.Duration(n) * time.Millisecond) }
 	return File{
+		Node:  Node{Processors: 1},
 		Fleet: Fleet{Size: 1},
 		Rules: Rules{Tick: ms(5), ReleaseGuard: ms(500), Retransmit: ms(500), ColdShare: 0.3, RampTime: ms(15000),
 			TipMultiple: 2, OverloadFor: ms(2000), MaxAttempts: 4, MaxRetryAfter: ms(2000), MayCancel: true},
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,94 @@
+package config
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"larkrouter"
+	"larkrouter/internal/sip"
+)
+
+const least = `
+[listen]
+udp = "127.0.0.1:5060"
+[[class]]
+name = "voice"
+aim = "1s"
+deadline = "9s"
+worth = 1.0
+[[server]]
+id = 1
+number = 0
+address = "127.0.0.1:5081"
+`
+
+func TestLeast(t *testing.T) {
+	f, err := Parse("x.toml", []byte(least))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := f.NodeConfig(5)
+	if c.Settings.ReleaseGuard != 500*time.Millisecond || c.Classes[0].Try != 9*time.Second || c.Seed != 5 || !c.Settings.MayCancel ||
+		!c.Addresses[sip.UDP].IsValid() || c.Addresses[sip.TCP].IsValid() || c.MaxCalls != 20000 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// The file that the operators' page shows is right, and every key of it is read.
+func TestExample(t *testing.T) {
+	b, err := os.ReadFile("../../docs/larkrouter.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := Parse("larkrouter.toml", b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := f.NodeConfig(1)
+	if len(c.Classes) != 3 || c.Settings.Classes[1].Worth != 8 || c.Settings.Classes[2].Repeat != larkrouter.Repeatable ||
+		c.Settings.Instances != 64 || c.ListServer.Transport != sip.TCP || len(c.Routes) != 1 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// Every error names the file, the key and what would be right.
+func TestErrors(t *testing.T) {
+	edit := func(old, new string) string { return strings.Replace(least, old, new, 1) }
+	for _, c := range []struct{ text, want string }{
+		{edit("worth = 1.0", "worht = 1.0"), "x.toml:8: class.worht: no such key"},
+		{edit(`aim = "1s"`, `aim = "fast"`), "x.toml:6"},
+		{edit(`aim = "1s"`, `aim = "20s"`), "x.toml: class[0].aim: 20s is longer than the deadline of 9s, at most as long is right"},
+		{edit(`aim = "1s"`, `aim = "0s"`), "x.toml: class[0].aim = 0s: more than 0 is right"},
+		{edit(`udp = "127.0.0.1:5060"`, `udp = "localhost"`), "x.toml: listen.udp = localhost: a numeric host:port is right"},
+		{edit(`udp = "127.0.0.1:5060"`, `udp = "0.0.0.0:5060"`), "x.toml: listen.udp: 0.0.0.0:5060 can't stand in Via and Contact: listen.advertise_udp is needed"},
+		{edit(`udp = "127.0.0.1:5060"`, ``), "x.toml: listen: neither udp nor tcp is given"},
+		{edit(`address = "127.0.0.1:5081"`, `address = "srv:5081"`), "x.toml: server: pool list: server 1 of 1: address \"srv:5081\": a numeric host:port is right"},
+		{edit(`[[server]]`, "[pool]\nfile = \"x\"\n[[server]]"), "x.toml: pool: 2 sources of call servers are given; exactly one"},
+		{edit(`worth = 1.0`, `worth = -1.0`), "x.toml: class[0].worth = -1: 0 or more is right"},
+		{least + "[fleet]\nsize = 3\nrank = 3\n", "x.toml: fleet.rank = 3: less than size is right"},
+		{least + "[rules]\ncold_share = 1.5\n", "x.toml: rules.cold_share = 1.5: 1 or less is right"},
+		{least + "[log]\nformat = \"xml\"\n", "x.toml: log.format = xml: one of json, text is right"},
+		{least + "[[class]]\nname = \"voice\"\naim=\"1s\"\ndeadline=\"2s\"\n", "x.toml: class[1].name: \"voice\" is the name of class[0] too"},
+		{least + "[[class]]\nname = \"b\"\naim=\"1s\"\ndeadline=\"2s\"\n", "x.toml: class[1]: has no prefixes, header or priority"},
+		{least + "[[route]]\nprefix = \"1\"\nserver = 9\n", "x.toml: route[0].server: 9 is the number of no [[server]]"},
+		{"[listen", "x.toml:1"},
+		{"", "x.toml: class = []: it has to be given"},
+	} {
+		_, err := Parse("x.toml", []byte(c.text))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("got  %v\nwant %s", err, c.want)
+		}
+	}
+}
+
+func TestServersFile(t *testing.T) {
+	s, err := Servers("pool.toml", []byte("[[server]]\nid = 4\nnumber = 1\naddress = \"127.0.0.1:5060\"\nphase = \"draining\"\n"))
+	if err != nil || len(s) != 1 || s[0].Phase != "draining" {
+		t.Errorf("%+v %v", s, err)
+	}
+	if _, err := Servers("pool.toml", []byte("[[server]]\nid = 4\n")); err == nil || !strings.Contains(err.Error(), "pool.toml: server[0].address") {
+		t.Error(err)
+	}
+}
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -44,11 +44,13 @@
 	return &f, nil
 }
 
+type serversFile struct {
+	Server []pool.Server `toml:"server" validate:"dive"`
+}
+
 // Servers reads a file of [[server]] tables, as pool.file names it.
 func Servers(name string, b []byte) ([]pool.Server, error) {
-	var f struct {
-		Server []pool.Server `toml:"server" validate:"dive"`
-	}
+	var f serversFile
 	if err := decode(name, b, &f); err != nil {
 		return nil, err
 	}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -115,8 +115,10 @@
 	}
 }
 
-// Logger makes the log that the configuration asks for. Lines go out as they come: a node that dies leaves them all.
-func Logger(f config.Log, w io.Writer) *slog.Logger {
+// Logger makes the log that the configuration asks for. Lines go out in lumps, 50 ms late at the most; flush writes
+// what is waiting.
+func Logger(f config.Log, out io.Writer) (log *slog.Logger, flush func()) {
+	w := newGather(out, 50*time.Millisecond)
 	opt := &slog.HandlerOptions{}
 	switch f.Level {
 	case "debug":
@@ -127,9 +129,9 @@
 		opt.Level = slog.LevelError
 	}
 	if f.Format == "text" {
-		return slog.New(slog.NewTextHandler(w, opt))
+		return slog.New(slog.NewTextHandler(w, opt)), w.Flush
 	}
-	return slog.New(slog.NewJSONHandler(w, opt))
+	return slog.New(slog.NewJSONHandler(w, opt)), w.Flush
 }
 
 func writeNote(log *slog.Logger, note any) {
@@ -155,6 +157,8 @@
 	add("outcome", r.Outcome != "", r.Outcome)
 	add("status", r.Status != 0, r.Status)
 	add("ms", r.Call != 0, float64(r.Wait.Microseconds())/1000)
+	add("stood_ms", r.Stood != 0, float64(r.Stood.Microseconds())/1000)
+	add("cut", r.Cut, true)
 	add("peer", r.Peer.Addr.IsValid(), r.Peer.String())
 	add("cause", r.Cause != "", r.Cause)
 	add("skipped", r.Skipped != 0, r.Skipped)
--- /dev/null
+++ b/internal/demo/faults_test.go
@@ -0,0 +1,156 @@
+package demo
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"larkrouter/internal/actor"
+	"larkrouter/internal/rules"
+	"larkrouter/internal/sip"
+)
+
+// faulty stands between the node and the network and spoils what it sends: it breaks one rule on the wire.
+type faulty struct {
+	actor.Actor
+	spoil func(now time.Duration, e actor.Effect, send func(actor.Effect))
+	now   time.Duration
+	more  []actor.Effect
+}
+
+func (f *faulty) Advance(now time.Duration) {
+	f.now = now
+	f.Actor.Advance(now)
+}
+
+func (f *faulty) Take(out func(actor.Effect)) {
+	f.Actor.Take(func(e actor.Effect) {
+		if e.Send == nil {
+			out(e)
+			return
+		}
+		f.spoil(f.now, e, out)
+	})
+}
+
+func clone(m *sip.Message, branch string) *sip.Message {
+	c := m.Clone()
+	v := c.Get("Via")
+	c.Set("Via", strings.Replace(v, "branch=z9hG4bK", "branch=z9hG4bK"+branch, 1))
+	c.Set("Call-ID", c.Get("Call-ID")+branch)
+	return c
+}
+
+// For each rule a node that breaks it must make the checker say so.
+func TestCheckerSeesBrokenRules(t *testing.T) {
+	isCallerFinal := func(e actor.Effect, day *Day) bool {
+		_, method, _ := e.Send.CSeq()
+		return e.Send.Status >= 200 && method == sip.INVITE
+	}
+	setUp := func(e actor.Effect) bool { return e.Send.Method == sip.INVITE && e.Send.Tag("To") == "" }
+	for _, c := range []struct {
+		rule  int
+		name  string
+		calm  bool
+		spoil func(d *Day) func(now time.Duration, e actor.Effect, send func(actor.Effect))
+	}{
+		{1, "no final answer at all", true, func(d *Day) func(time.Duration, actor.Effect, func(actor.Effect)) {
+			n := 0
+			return func(_ time.Duration, e actor.Effect, send func(actor.Effect)) {
+				if isCallerFinal(e, d) {
+					if n++; n%50 == 0 {
+						return
+					}
+				}
+				send(e)
+			}
+		}},
+		{1, "a second, other answer", true, func(d *Day) func(time.Duration, actor.Effect, func(actor.Effect)) {
+			return func(_ time.Duration, e actor.Effect, send func(actor.Effect)) {
+				send(e)
+				if isCallerFinal(e, d) {
+					m := e.Send.Clone()
+					m.Status, m.Reason = 503, "again"
+					send(actor.Effect{Send: m, To: e.To})
+				}
+			}
+		}},
+		{2, "two attempts at once", true, func(d *Day) func(time.Duration, actor.Effect, func(actor.Effect)) {
+			return func(_ time.Duration, e actor.Effect, send func(actor.Effect)) {
+				send(e)
+				if setUp(e) && e.To.Transport == sip.UDP {
+					to := e.To
+					to.Addr = d.cfg[2].Address
+					if e.To.Addr != to.Addr {
+						send(actor.Effect{Send: clone(e.Send, "twice"), To: to})
+					}
+				}
+			}
+		}},
+		{3, "set-ups to a draining server", false, func(d *Day) func(time.Duration, actor.Effect, func(actor.Effect)) {
+			return func(_ time.Duration, e actor.Effect, send func(actor.Effect)) {
+				if setUp(e) && e.To.Transport == sip.UDP {
+					e.To.Addr = d.cfg[1].Address
+				}
+				send(e)
+			}
+		}},
+		{4, "a cold server flooded", false, func(d *Day) func(time.Duration, actor.Effect, func(actor.Effect)) {
+			return func(now time.Duration, e actor.Effect, send func(actor.Effect)) {
+				send(e)
+				if setUp(e) && now > 17500*time.Millisecond && now < 18500*time.Millisecond {
+					for i := range 6 {
+						m := clone(e.Send, "flood"+string(rune('a'+i)))
+						m.Del("Session-ID")
+						to := e.To
+						to.Transport, to.Addr = sip.UDP, d.cfg[1].Address
+						send(actor.Effect{Send: m, To: to})
+					}
+				}
+			}
+		}},
+		{5, "a resend at once after a CANCEL", false, func(d *Day) func(time.Duration, actor.Effect, func(actor.Effect)) {
+			seen := map[string]actor.Effect{}
+			return func(_ time.Duration, e actor.Effect, send func(actor.Effect)) {
+				send(e)
+				if setUp(e) {
+					seen[e.Send.Branch()] = e
+				}
+				if first, ok := seen[e.Send.Branch()]; ok && e.Send.Method == sip.CANCEL {
+					to := first.To
+					to.Transport, to.Addr = sip.UDP, d.cfg[1].Address
+					send(actor.Effect{Send: clone(first.Send, "soon"), To: to})
+				}
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			rec := &Recorder{}
+			stage := NewVirtual(3, rec)
+			var d *Day
+			stage.Wrap = func(p Party) actor.Actor {
+				if p.Kind != "node" {
+					return p.Act
+				}
+				f := &faulty{Actor: p.Act}
+				f.spoil = func(now time.Duration, e actor.Effect, send func(actor.Effect)) {
+					f.spoil = c.spoil(d)
+					f.spoil(now, e, send)
+				}
+				return f
+			}
+			var err error
+			if d, err = New(Options{Seed: 3, Rate: 40, Length: 30 * time.Second, Calm: c.calm}, stage, rec); err != nil {
+				t.Fatal(err)
+			}
+			d.Play(t.Context())
+			rep := rules.Check(rec.Records(), d.Figures(time.Millisecond))
+			if v := rep.Rules[c.rule-1]; v.Breaks == 0 {
+				t.Errorf("rule %d: %d checks and no break seen: %+v", c.rule, v.Checks, rep)
+			}
+			if rep.Kept() == 5 || rep.Line() == "rules kept: 5 of 5" {
+				t.Error(rep.Line())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/measure/measure.go
@@ -0,0 +1,240 @@
+// Package measure times the program itself: a node in a process of its own, serving on loopback, with call servers
+// that do no work and a steady load. It reports what the operating system charged the node for it.
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"larkrouter/internal/daemon"
+	"larkrouter/internal/sip"
+	"larkrouter/internal/sip/transport"
+	"larkrouter/internal/standin"
+)
+
+// Options of a measurement.
+type Options struct {
+	Program string  // the larkrouter executable
+	TCP     bool    // callers and servers by TCP
+	Rate    float64 // calls a second
+	Open    int     // calls that stand at once
+	Calls   int
+	Extra   string // more configuration, TOML
+	Profile string // of the node's CPU, to this file; empty: none
+}
+
+const servers = 8
+
+// Result is what was measured.
+type Result struct {
+	Stood, Failed int
+	PerSecond     float64
+	CPU           time.Duration // of the node, a call
+	Median, P99   time.Duration // set-up through the node
+	DirectMedian  time.Duration // set-up without it
+	DirectP99     time.Duration
+	Resident      int64 // bytes, most seen
+}
+
+// Run measures, first straight to a server, then through the node.
+func Run(ctx context.Context, o Options) (Result, error) {
+	var r Result
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	clock := daemon.Monotonic()
+	var ends []chan struct{}
+	defer func() {
+		cancel()
+		for _, e := range ends {
+			<-e
+		}
+	}()
+	run := func(l *daemon.Loop) {
+		end := make(chan struct{})
+		ends = append(ends, end)
+		go func() { defer close(end); l.Run(ctx) }()
+	}
+	open := func() (*daemon.Loop, netip.AddrPort, error) {
+		for try := 0; ; try++ {
+			probe, err := daemon.NewLoop(transport.Config{UDP: netip.MustParseAddrPort("127.0.0.1:0")})
+			if err != nil {
+				return nil, netip.AddrPort{}, err
+			}
+			at := probe.Stack().UDPAddr()
+			probe.Stack().Close()
+			l, err := daemon.NewLoop(transport.Config{UDP: at, TCP: at})
+			if err == nil {
+				l.Clock = clock
+				return l, at, nil
+			}
+			if try > 20 {
+				return nil, at, err
+			}
+		}
+	}
+	tr, word := sip.UDP, "udp"
+	if o.TCP {
+		tr, word = sip.TCP, "tcp"
+	}
+	var list strings.Builder
+	var first netip.AddrPort
+	for i := range servers {
+		l, at, err := open()
+		if err != nil {
+			return r, err
+		}
+		l.Actor = standin.NewServer(standin.ServerConfig{Seed: uint64(i), Address: at})
+		run(l)
+		if i == 0 {
+			first = at
+		}
+		fmt.Fprintf(&list, "[[server]]\nid = %d\nnumber = %d\naddress = %q\ntransport = %q\n", i+1, i, at, word)
+	}
+	load := func(to netip.AddrPort, calls int) (*standin.Load, time.Duration, error) {
+		l, at, err := open()
+		if err != nil {
+			return nil, 0, err
+		}
+		act := standin.NewLoad(standin.LoadConfig{Seed: uint64(at.Port()), Address: at, To: sip.Peer{Transport: tr, Addr: to}, Rate: o.Rate,
+			Hold: time.Duration(float64(o.Open) / o.Rate * float64(time.Second)), Calls: calls})
+		l.Actor = act
+		begin := time.Now()
+		run(l)
+		limit := time.Duration(float64(calls+o.Open)/o.Rate*float64(time.Second)) + 90*time.Second
+		for {
+			ended := 0
+			l.Call(func(time.Duration) { ended = act.Ended })
+			if ended >= calls || ctx.Err() != nil {
+				return act, time.Since(begin), ctx.Err()
+			}
+			if time.Since(begin) > limit {
+				return act, time.Since(begin), fmt.Errorf("%d of %d calls ended within %v", ended, calls, limit)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	direct, _, err := load(first, min(o.Calls, 2000))
+	if err != nil {
+		return r, fmt.Errorf("straight to a server: %w", err)
+	}
+	r.DirectMedian, r.DirectP99 = quantile(direct, 50), quantile(direct, 99)
+
+	nodeLoop, nodeAt, err := open()
+	if err != nil {
+		return r, err
+	}
+	nodeLoop.Stack().Close()
+	dir, err := os.MkdirTemp("", "larkrouter-measure")
+	if err != nil {
+		return r, err
+	}
+	defer os.RemoveAll(dir)
+	file := filepath.Join(dir, "node.toml")
+	text := fmt.Sprintf("[listen]\nudp = %q\ntcp = %q\n[log]\nlevel = \"info\"\n[[class]]\nname = \"voice\"\naim = \"1s\"\ndeadline = \"9s\"\nworth = 1.0\n%s%s",
+		nodeAt, nodeAt, list.String(), o.Extra)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return r, err
+	}
+	args := []string{"serve", "-c", file}
+	if o.Profile != "" {
+		args = append(args, "--cpu-profile", o.Profile)
+	}
+	cmd := exec.CommandContext(ctx, o.Program, args...)
+	logFile, err := os.Create(filepath.Join(dir, "log"))
+	if err != nil {
+		return r, err
+	}
+	defer logFile.Close()
+	cmd.Stderr = logFile
+	if err := cmd.Start(); err != nil {
+		return r, fmt.Errorf("starting %s: %w", o.Program, err)
+	}
+	defer func() { _ = cmd.Process.Kill(); _ = cmd.Wait() }()
+	for i := 0; ; i++ {
+		b, _ := os.ReadFile(logFile.Name())
+		if strings.Contains(string(b), "serving") {
+			break
+		}
+		if i > 2000 {
+			return r, fmt.Errorf("the node did not start: %s", b)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if _, _, err := load(nodeAt, min(1000, o.Calls)); err != nil { // warm
+		return r, err
+	}
+	before, _ := cpu(cmd.Process.Pid)
+	act, took, err := load(nodeAt, o.Calls)
+	after, _ := cpu(cmd.Process.Pid)
+	if err != nil {
+		return r, fmt.Errorf("through the node: %w", err)
+	}
+	r.Resident = resident(cmd.Process.Pid)
+	r.Stood, r.Failed = act.Stood, act.Failed
+	r.PerSecond = float64(o.Calls) / took.Seconds()
+	r.CPU = (after - before) / time.Duration(o.Calls)
+	r.Median, r.P99 = quantile(act, 50), quantile(act, 99)
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	time.Sleep(500 * time.Millisecond) // for the profile
+	return r, nil
+}
+
+func quantile(l *standin.Load, q float64) time.Duration {
+	return time.Duration(l.SetUp.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// cpu is what a process has used so far, user and system (proc(5), clock ticks of 10 ms).
+func cpu(pid int) (time.Duration, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(string(b), ") ")
+	f := strings.Fields(rest)
+	if len(f) < 13 {
+		return 0, fmt.Errorf("/proc/%d/stat has %d fields", pid, len(f))
+	}
+	user, _ := strconv.ParseInt(f[11], 10, 64)
+	sys, _ := strconv.ParseInt(f[12], 10, 64)
+	return time.Duration(user+sys) * 10 * time.Millisecond, nil
+}
+
+// resident is the most memory that a process had (VmHWM).
+func resident(pid int) int64 {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(b), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kb, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			return kb << 10
+		}
+	}
+	return 0
+}
+
+// Print writes the result as a table.
+func (r Result) Print(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(t, "calls stood, failed\t%d, %d\n", r.Stood, r.Failed)
+	fmt.Fprintf(t, "calls a second\t%.0f\n", r.PerSecond)
+	fmt.Fprintf(t, "CPU of the node a call\t%.3f ms\n", float64(r.CPU.Microseconds())/1000)
+	fmt.Fprintf(t, "set-up through the node, median and 99th percentile\t%.2f ms, %.2f ms\n", ms(r.Median), ms(r.P99))
+	fmt.Fprintf(t, "set-up without it\t%.2f ms, %.2f ms\n", ms(r.DirectMedian), ms(r.DirectP99))
+	fmt.Fprintf(t, "added by the node\t%.2f ms, %.2f ms\n", ms(r.Median-r.DirectMedian), ms(r.P99-r.DirectP99))
+	fmt.Fprintf(t, "memory of the node at most\t%.1f MB\n", float64(r.Resident)/1e6)
+	return t.Flush()
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -375,7 +375,12 @@
 	if rep := report(m, a.lines); rep != nil {
 		n.tell(larkrouter.Probed{Server: a.server, OK: true, Report: rep})
 	}
-	n.logCall(k, outcome, "", m.Status)
+	k.outcome, k.stoodAfter = outcome, n.now-k.arrived
+	level := Debug // the line at its end tells of a call in aim
+	if outcome == "late" {
+		level = Info
+	}
+	n.logCall(level, "stands", k, outcome, "", m.Status)
 	k.invite, k.last = nil, nil
 	a.tx = nil
 }
--- a/internal/node/dialog.go
+++ b/internal/node/dialog.go
@@ -179,6 +179,7 @@
 		return
 	}
 	n.heap.Stop(&l.ok.timer)
+	l.ok.tx.Acked()
 	l.ok = nil
 	if l.peer != nil && l.peer.ackOwed {
 		l.peer.sendAck(n, m)
--- a/internal/node/indialog.go
+++ b/internal/node/indialog.go
@@ -210,8 +210,9 @@
 		n.Stats.server(k.server).Reset++
 	}
 	if n.cfg.LogCalls {
-		n.log(Record{Level: Info, Event: "ended", Call: k.id, Session: k.session, Class: n.className(k), Server: k.server,
-			Cause: how, Wait: n.now - k.arrived})
+		n.log(Record{Level: Info, Event: "call", Call: k.id, Session: k.session, Class: n.className(k), Server: k.server,
+			Attempt: k.tries, Outcome: k.outcome, Status: 200, Cause: how, Wait: k.stoodAfter, Stood: n.now - k.arrived - k.stoodAfter,
+			Cut: bye == nil || outcome != larkrouter.Completed})
 	}
 	delete(n.calls, k.id)
 	for _, l := range [...]*leg{down, up} {
--- a/internal/node/invite.go
+++ b/internal/node/invite.go
@@ -15,29 +15,31 @@
 
 // call is one call: the caller's INVITE, then one attempt after another, then two legs that stand.
 type call struct {
-	id       uint64
-	class    int
-	session  string
-	tx       *transaction.Server // the caller's INVITE
-	invite   *sip.Message        // until the call stands or ends
-	mergeKey string
-	number   string
-	key      uint64
-	arrived  time.Duration
-	redial   int
-	deadline time.Duration
-	guard    timers.Timer // the core's own hold on the deadline; once answered, on mergeKey
-	answered bool         // the one final answer has gone out
-	standing bool
-	told     bool // the module knows it
-	owed     bool // the module has been told Standing: an AttemptOver ends it
-	gone     bool // the module has been told CallGone
-	try      *attempt
-	tries    int
-	last     *sip.Message // last failure's answer
-	lastErr  larkrouter.Outcome
-	server   uint32 // of the standing leg
-	down     *leg   // of the standing call, towards the server
+	id         uint64
+	class      int
+	session    string
+	tx         *transaction.Server // the caller's INVITE
+	invite     *sip.Message        // until the call stands or ends
+	mergeKey   string
+	number     string
+	key        uint64
+	arrived    time.Duration
+	redial     int
+	deadline   time.Duration
+	guard      timers.Timer // the core's own hold on the deadline; once answered, on mergeKey
+	answered   bool         // the one final answer has gone out
+	standing   bool
+	told       bool // the module knows it
+	owed       bool // the module has been told Standing: an AttemptOver ends it
+	gone       bool // the module has been told CallGone
+	try        *attempt
+	tries      int
+	last       *sip.Message // last failure's answer
+	lastErr    larkrouter.Outcome
+	server     uint32 // of the standing leg
+	outcome    string // how it stood: "in aim" or "late", and after what time
+	stoodAfter time.Duration
+	down       *leg // of the standing call, towards the server
 }
 
 func (n *Node) className(k *call) string { return n.cfg.Settings.Classes[k.class].Name }
@@ -191,11 +193,16 @@
 // takes the call's answer over, a datagram is late and is dropped. So the caller hears one answer.
 func (n *Node) merge(k *call, t *transaction.Server, m *sip.Message) {
 	n.Stats.Merged++
-	if t.From.Addr.Addr() != k.tx.From.Addr.Addr() || t.From.Transport == k.tx.From.Transport {
+	same := t.From.Addr.Addr() == k.tx.From.Addr.Addr()
+	if same && k.answered { // a copy that outlived its transaction, or came by the other way: it has its answer
+		t.Drop()
+		return
+	}
+	if !same || t.From.Transport == k.tx.From.Transport {
 		n.reject(t, m, 482)
 		return
 	}
-	if t.From.Transport != sip.TCP || k.answered {
+	if t.From.Transport != sip.TCP {
 		t.Drop()
 		return
 	}
@@ -288,14 +295,14 @@
 	default:
 		st.Failed++
 	}
-	n.logCall(k, outcome, cause, r.Status)
+	n.logCall(Info, "call", k, outcome, cause, r.Status)
 	n.keepMerged(k)
 	n.end(k)
 }
 
-func (n *Node) logCall(k *call, outcome, cause string, status int) {
+func (n *Node) logCall(level Level, event string, k *call, outcome, cause string, status int) {
 	if n.cfg.LogCalls {
-		n.log(Record{Level: Info, Event: "call", Call: k.id, Session: k.session, Class: n.className(k), Server: k.server,
+		n.log(Record{Level: level, Event: event, Call: k.id, Session: k.session, Class: n.className(k), Server: k.server,
 			Attempt: k.tries, Outcome: outcome, Cause: cause, Status: status, Wait: n.now - k.arrived})
 	}
 }
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -21,7 +21,7 @@
 // Record is one line for the log, its fields those that matter to the event.
 type Record struct {
 	Level   Level
-	Event   string // "call", "server", "list", "module", "malformed", "assert" ...
+	Event   string // "call" (it is over), "stands", "attempt", "server", "list", "module", "malformed", "assert" ...
 	Call    uint64
 	Session string // Session-ID (RFC 7989): the same on both legs
 	Class   string
@@ -30,7 +30,9 @@
 	Outcome string
 	Cause   string
 	Status  int
-	Wait    time.Duration // from the call's arrival
+	Wait    time.Duration // from the call's arrival to its answer
+	Stood   time.Duration // of a call that stood: how long
+	Cut     bool          // it ended before its time
 	Peer    sip.Peer
 	Skipped uint64 // lines of this kind left out since the last
 }
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,124 @@
+package pool
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"larkrouter"
+)
+
+func entry(id uint32, phase string) Server {
+	return Server{ID: id, Number: int(id), Address: fmt.Sprintf("127.0.0.1:%d", 5000+id), Phase: phase}
+}
+
+func apply(t *testing.T, l *List, at time.Duration, d Document) News {
+	t.Helper()
+	n, err := l.Apply(at, d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func TestVersions(t *testing.T) {
+	l := NewList()
+	if _, err := l.Apply(0, Document{Version: 1, State: "partial"}); !errors.Is(err, ErrGap) {
+		t.Errorf("a partial document first: %v", err)
+	}
+	apply(t, l, 0, Document{Version: 4, State: "full", Servers: []Server{entry(1, ""), entry(2, "")}})
+	for _, c := range []struct {
+		d    Document
+		want error
+	}{
+		{Document{Version: 4, State: "partial", Servers: []Server{entry(1, "gone")}}, ErrOld},
+		{Document{Version: 6, State: "partial", Servers: []Server{entry(1, "gone")}}, ErrGap},
+		{Document{Version: 3, State: "full"}, ErrOld},
+	} {
+		if _, err := l.Apply(0, c.d); !errors.Is(err, c.want) {
+			t.Errorf("%+v: %v", c.d, err)
+		}
+	}
+	if k, _ := l.Get(1); k.Phase != larkrouter.Ready {
+		t.Error("a document that was turned away changed the list")
+	}
+	n := apply(t, l, 0, Document{Version: 5, State: "partial", Servers: []Server{entry(1, "draining")}})
+	if n.Full() || len(n.Module().Servers) != 1 || n.Module().Servers[0].Phase != larkrouter.Draining {
+		t.Errorf("%+v", n)
+	}
+	apply(t, l, 0, Document{Version: 6, State: "full", Servers: []Server{entry(2, "")}})
+	if k, ok := l.Get(1); !ok || k.Phase != larkrouter.Gone {
+		t.Errorf("a server that the whole list leaves out: %+v", k)
+	}
+	l.Resync() // a list server that counts anew
+	apply(t, l, 0, Document{Version: 1, State: "full", Servers: []Server{entry(1, "")}})
+}
+
+func TestNonsenseLeavesListAlone(t *testing.T) {
+	l := NewList()
+	apply(t, l, 0, Document{Version: 1, State: "full", Servers: []Server{entry(1, "")}})
+	for _, s := range [][]Server{
+		{{ID: 1, Address: "nowhere"}}, {{ID: 1, Address: "127.0.0.1:1", Phase: "asleep"}},
+		{{ID: 1, Address: "127.0.0.1:1", Transport: "sctp"}}, {{ID: 1, Address: "127.0.0.1:1", AgeMs: -5}},
+		{entry(3, ""), entry(3, "")},
+	} {
+		if _, err := l.Apply(0, Document{Version: 2, State: "partial", Servers: s}); err == nil {
+			t.Errorf("%+v was taken", s)
+		}
+	}
+	if len(l.All()) != 1 || l.Version() != 1 {
+		t.Errorf("%+v", l.All())
+	}
+	for _, b := range []string{"", "[]", `{"state":"half"}`, `{"version":-1,"state":"full"}`} {
+		if _, err := Parse([]byte(b)); err == nil {
+			t.Errorf("%q was read", b)
+		}
+	}
+}
+
+// A start has one time, however often and late it is told: else each telling would chill the server again.
+func TestStartIsToldOnce(t *testing.T) {
+	l := NewList()
+	s := entry(1, "")
+	s.Run, s.AgeMs = 7, 400
+	apply(t, l, 10*time.Second, Document{Version: 1, State: "full", Servers: []Server{s}})
+	s.AgeMs = 1300 // told again 1.2 s later, 300 ms on its way
+	apply(t, l, 11200*time.Millisecond, Document{Version: 2, State: "partial", Servers: []Server{s}})
+	if k, _ := l.Get(1); k.Started != 9600*time.Millisecond {
+		t.Errorf("started at %v", k.Started)
+	}
+	s.Run, s.AgeMs = 8, 100
+	apply(t, l, 20*time.Second, Document{Version: 3, State: "partial", Servers: []Server{s}})
+	if k, _ := l.Get(1); k.Started != 19900*time.Millisecond {
+		t.Errorf("the next start at %v", k.Started)
+	}
+}
+
+func TestNumbers(t *testing.T) {
+	l := NewList()
+	apply(t, l, 0, Document{Version: 1, State: "full", Servers: []Server{entry(1, ""), entry(2, ""), entry(3, ""), entry(4, "gone")}})
+	n := NewNumbers([]Route{{"47", 1}, {"4712", 2}})
+	if n.Destination("471234", l) != 2 || n.Destination("4799", l) != 1 {
+		t.Error("not the longest prefix")
+	}
+	count := map[int]int{}
+	before := map[string]int{}
+	for i := range 6000 {
+		num := fmt.Sprintf("99%04d", i)
+		before[num] = n.Destination(num, l)
+		count[before[num]]++
+	}
+	if count[4] != 0 || count[1] < 1800 || count[2] < 1800 || count[3] < 1800 {
+		t.Errorf("spread %v", count)
+	}
+	apply(t, l, 0, Document{Version: 2, State: "partial", Servers: []Server{entry(3, "gone")}})
+	for num, was := range before {
+		if now := n.Destination(num, l); was != 3 && now != was {
+			t.Fatalf("%s moved from %d to %d though %d was not the one that went", num, was, now, was)
+		}
+	}
+	if NewNumbers(nil).Destination("1", NewList()) != -1 {
+		t.Error("a destination without servers")
+	}
+}
--- a/internal/sip/address.go
+++ b/internal/sip/address.go
@@ -19,7 +19,7 @@
 func ParseURI(s string) (URI, error) {
 	scheme, rest, ok := strings.Cut(s, ":")
 	u := URI{Scheme: strings.ToLower(scheme)}
-	if !ok || rest == "" || strings.ContainsAny(s, " <>\"\r\n") {
+	if !ok || rest == "" || holds(s, &notInURI) {
 		return u, fmt.Errorf("URI %.60q: want scheme:rest", s)
 	}
 	switch u.Scheme {
@@ -84,6 +84,26 @@
 	return Peer{Transport: t, Addr: netip.AddrPortFrom(a, uint16(port))}, err == nil
 }
 
+type charSet [256]bool
+
+func set(chars string) (t charSet) {
+	for i := range len(chars) {
+		t[chars[i]] = true
+	}
+	return t
+}
+
+var notInURI, notInHost = set(" <>\"\r\n"), set(" @/,\"")
+
+func holds(s string, t *charSet) bool {
+	for i := range len(s) {
+		if t[s[i]] {
+			return true
+		}
+	}
+	return false
+}
+
 func cutAt(s string, c byte) (before, from string) {
 	if i := strings.IndexByte(s, c); i >= 0 {
 		return s[:i], s[i:]
@@ -100,7 +120,7 @@
 		}
 	}
 	host = strings.TrimSpace(host)
-	if host == "" || strings.ContainsAny(host, " @/,\"") || strings.Contains(host, ":") && host[0] != '[' {
+	if host == "" || holds(host, &notInHost) || strings.Contains(host, ":") && host[0] != '[' {
 		return host, port, fmt.Errorf("host %.40q can't be read", host)
 	}
 	return host, port, nil
@@ -175,6 +195,9 @@
 
 // indexOutside finds c outside quoted strings.
 func indexOutside(s string, c byte) int {
+	if strings.IndexByte(s, '"') < 0 {
+		return strings.IndexByte(s, c)
+	}
 	quoted := false
 	for i := 0; i < len(s); i++ {
 		switch {
--- /dev/null
+++ b/internal/sip/message_test.go
@@ -0,0 +1,303 @@
+package sip
+
+import (
+	"bytes"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func crlf(s string) []byte { return []byte(strings.ReplaceAll(s, "\n", "\r\n")) }
+
+// Messages shaped after the cases of RFC 4475, section 3.1: odd, but right.
+func TestOddButRight(t *testing.T) {
+	m, err := Parse(crlf(`INVITE sip:vivekg@chair-dnrc.example.com;unknownparam SIP/2.0
+TO :
+ sip:vivekg@chair-dnrc.example.com ;   tag    = 1918181833n
+from   : "J Rosenberg \\\""       <sip:jdrosen@example.com>
+  ;
+  tag = 98asjd8
+MaX-fOrWaRdS: 0068
+Call-ID: wsinv.ndaksdj@192.0.2.1
+Cseq: 0009
+  INVITE
+Via  : SIP  /   2.0
+ /UDP
+    192.0.2.2;branch=390skdjuw
+s :
+NewFangledHeader:   newfangled value
+ continued newfangled value
+UnknownHeaderWithUnusualValue: ;;,,;;,;
+Content-Type: application/sdp
+Route:
+ <sip:services.example.com;lr;unknownwith=value;unknown-no-value>
+v:  SIP  / 2.0  / TCP     spindle.example.com   ;
+  branch  =   z9hG4bK9ikj8  ,
+ SIP  /    2.0   / UDP  192.168.255.111   ; branch=
+ z9hG4bK30239
+m:"Quoted string \"\"" <sip:jdrosen@example.com> ; newparam =
+      newvalue ;
+  secondparam ; q = 0.33
+l: 5
+
+v=0
+x`), Limits{})
+	// Spaces inside SIP / 2.0 are legal by the letter; no peer of this node sends them, and they are turned away.
+	if err == nil {
+		t.Fatalf("read as %+v", m)
+	}
+	m, err = Parse(crlf(`INVITE sip:vivekg@chair.example.com;unknownparam SIP/2.0
+TO :
+ sip:vivekg@chair.example.com ;   tag    = 1918181833n
+from   : "J Rosenberg \\\""       <sip:jdrosen@example.com>
+  ;
+  tag = 98asjd8
+MaX-fOrWaRdS: 0068
+i: wsinv.ndaksdj@192.0.2.1
+Cseq: 0009
+  INVITE
+Via  : SIP/2.0/UDP 192.0.2.2;branch=z9hG4bK390skdjuw
+s :
+NewFangledHeader:   newfangled value
+ continued newfangled value
+v:  SIP/2.0/TCP     spindle.example.com   ;
+  branch  =   z9hG4bK9ikj8  , SIP/2.0/UDP  192.168.255.111   ; branch=z9hG4bK30239
+Route: <sip:a.example.com;lr>, "x, y" <sip:b.example.com;lr>
+l: 5
+
+v=0
+x`), Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := m.Values("Via"); len(got) != 3 || Param(got[1], "branch") != "z9hG4bK9ikj8" || Param(got[2], "branch") != "z9hG4bK30239" {
+		t.Errorf("Via: %q", got)
+	}
+	if got := m.Values("Route"); len(got) != 2 || got[1] != `"x, y" <sip:b.example.com;lr>` {
+		t.Errorf("Route: %q", got)
+	}
+	if m.Tag("To") != "1918181833n" || m.Tag("From") != "98asjd8" || m.Get("Max-Forwards") != "0068" || !m.Has("Subject") {
+		t.Errorf("tags %q %q, hops %q", m.Tag("To"), m.Tag("From"), m.Get("Max-Forwards"))
+	}
+	if n, method, ok := m.CSeq(); n != 9 || method != INVITE || !ok {
+		t.Errorf("CSeq %d %q %v", n, method, ok)
+	}
+	if m.Get("Newfangledheader") != "newfangled value continued newfangled value" || string(m.Body) != "v=0\r\n" {
+		t.Errorf("folded %q, body %q", m.Get("Newfangledheader"), m.Body)
+	}
+	back, err := Parse(m.Bytes(), Limits{})
+	if err != nil || !slices.Equal(back.Values("Via"), m.Values("Via")) || !slices.Equal(back.Values("Route"), m.Values("Route")) {
+		t.Errorf("after writing and reading: %v, Via %q", err, back.Values("Via"))
+	}
+}
+
+const good = "INVITE sip:a@b SIP/2.0\nVia: SIP/2.0/UDP h:5060;branch=z9hG4bKa\nFrom: <sip:a@b>;tag=1\nTo: <sip:b@c>\nCall-ID: x\nCSeq: 1 INVITE\n"
+
+// Messages that are wrong, with the answer that the RFC wants; 0 is a drop.
+func TestWrong(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		status     int
+	}{
+		{"no start", "hello\n\n", 0},
+		{"no Via", "INVITE sip:a@b SIP/2.0\nFrom: <sip:a@b>;tag=1\nTo: <sip:b@c>\nCall-ID: x\nCSeq: 1 INVITE\n\n", 0},
+		{"Via without host", strings.Replace(good, "UDP h:5060", "UDP ", 1) + "\n", 0},
+		{"no end", good, 0},
+		{"body cut short", good + "Content-Length: 9\n\nabc", 400},
+		{"negative length", good + "Content-Length: -999\n\nabc", 400},
+		{"two lengths", good + "Content-Length: 3\nContent-Length: 4\n\nabcd", 400},
+		{"length out of range", good + "Content-Length: 99999999999999\n\n", 400},
+		{"CSeq out of range", strings.Replace(good, "CSeq: 1", "CSeq: 36893488147419103232", 1) + "\n", 400},
+		{"CSeq of another method", strings.Replace(good, "1 INVITE", "1 BYE", 1) + "\n", 400},
+		{"two From", good + "f: <sip:c@d>;tag=9\n\n", 400},
+		{"From not closed", strings.Replace(good, "<sip:a@b>;", "<sip:a@b;", 1) + "\n", 400},
+		{"unknown version", strings.Replace(good, "SIP/2.0\n", "SIP/7.0\n", 1) + "\n", 505},
+		{"URI in angle brackets", strings.Replace(good, "INVITE sip:a@b", "INVITE <sip:a@b>", 1) + "\n", 400},
+		{"field without colon", good + "nonsense\n\n", 400},
+		{"field name with space", good + "Bad Name: x\n\n", 400},
+		{"port out of range", strings.Replace(good, "h:5060", "h:99999", 1) + "\n", 0},
+		{"status out of range", "SIP/2.0 4294967301 better not\n\n", 0},
+		{"long line", good + "X: " + strings.Repeat("a", 5000) + "\n\n", 400},
+		{"many fields", good + strings.Repeat("X: y\n", 200) + "\n", 400},
+	} {
+		_, err := Parse(crlf(c.text), Limits{})
+		e, ok := IsParse(err)
+		if !ok || e.Status != c.status {
+			t.Errorf("%s: error %v with status %v, %d is right", c.name, err, e, c.status)
+		}
+	}
+	if _, err := Parse(append(crlf(good), "\r\n"+strings.Repeat("b", 70)...), Limits{Body: 64}); err == nil {
+		t.Error("a body over the limit was read")
+	}
+}
+
+func TestStreamPieces(t *testing.T) {
+	one := crlf(good + "Content-Length: 4\n\nabcd")
+	two := crlf("SIP/2.0 200 OK\nVia: SIP/2.0/TCP h;branch=z9hG4bKa\nFrom: <sip:a@b>;tag=1\nTo: <sip:b@c>;tag=2\nCall-ID: x\nCSeq: 1 INVITE\nl: 0\n\n")
+	all := slices.Concat(one, []byte("\r\n\r\n"), two, one)
+	rapid.Check(t, func(t *rapid.T) {
+		var s Stream
+		var got []string
+		pings := 0
+		for rest := all; len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "bytes")
+			if rapid.Bool().Draw(t, "small") {
+				n = 1
+			}
+			s.Feed(rest[:n])
+			rest = rest[n:]
+			for {
+				m, err := s.Next()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if m == nil {
+					break
+				}
+				got = append(got, m.Method+string(m.Body))
+			}
+			pings += s.Pings()
+		}
+		if !slices.Equal(got, []string{"INVITEabcd", "", "INVITEabcd"}) || pings != 1 || s.Mid() {
+			t.Fatalf("read %q, %d pings, in mid-message %v", got, pings, s.Mid())
+		}
+	})
+}
+
+// After what can't be framed nothing more is read: the place of the next message is unknown.
+func TestStreamBroken(t *testing.T) {
+	s := Stream{Limits: Limits{Line: 256}}
+	s.Feed(crlf(good + "\n")) // no Content-Length
+	_, err := s.Next()
+	s.Feed(crlf(good + "Content-Length: 0\n\n"))
+	m, again := s.Next()
+	if err == nil || again != err || m != nil {
+		t.Errorf("%v, then %v %v", err, m, again)
+	}
+	s = Stream{Limits: Limits{Line: 256}}
+	s.Feed(bytes.Repeat([]byte("a"), 5000))
+	if _, err := s.Next(); err == nil {
+		t.Error("a head without end was waited for")
+	}
+}
+
+// What is written is read again as it was.
+func TestRoundTrip(t *testing.T) {
+	word := rapid.StringMatching(`[a-zA-Z0-9.!%*_+~-]{1,12}`)
+	rapid.Check(t, func(t *rapid.T) {
+		m := NewRequest(word.Draw(t, "method"), "sip:"+word.Draw(t, "user")+"@127.0.0.1", "<sip:a@h>;tag="+word.Draw(t, "tag"), "<sip:b@h>", word.Draw(t, "id"), rapid.Uint32Range(0, 1<<31-1).Draw(t, "cseq"), 70)
+		for range rapid.IntRange(1, 4).Draw(t, "vias") {
+			m.Push("Via", "SIP/2.0/UDP "+word.Draw(t, "host")+";branch=z9hG4bK"+word.Draw(t, "branch"))
+		}
+		for range rapid.IntRange(0, 4).Draw(t, "routes") {
+			m.Add(rapid.SampledFrom([]string{"Route", "Record-Route", "X-Other", "Supported"}).Draw(t, "name"), "<sip:"+word.Draw(t, "r")+";lr>")
+		}
+		m.Body = rapid.SliceOfN(rapid.Byte(), 0, 50).Draw(t, "body")
+		got, err := Parse(m.Bytes(), Limits{})
+		if err != nil {
+			t.Fatalf("%v\n%s", err, m.Bytes())
+		}
+		if got.Method != m.Method || got.URI != m.URI || !slices.Equal(got.Fields, m.Fields) || !bytes.Equal(got.Body, m.Body) {
+			t.Fatalf("got %+v\nof  %+v", got, m)
+		}
+	})
+}
+
+func TestAddresses(t *testing.T) {
+	for in, want := range map[string]Address{
+		`"A, <B>;tag=no" <sip:u;x=1@h:5070;transport=tcp?s=1>;tag=t`: {`"A, <B>;tag=no"`, URI{"sip", "u;x=1", "h", 5070, ";transport=tcp", "?s=1"}, ";tag=t"},
+		`sip:h;tag=t`:        {"", URI{Scheme: "sip", Host: "h"}, ";tag=t"},
+		`<sips:[::1]:5061>`:  {"", URI{Scheme: "sips", Host: "[::1]", Port: 5061}, ""},
+		`<tel:+47-22;ext=1>`: {"", URI{Scheme: "tel", User: "+47-22", Params: ";ext=1"}, ""},
+	} {
+		got, err := ParseAddress(in)
+		if err != nil || got != want {
+			t.Errorf("%s: %+v, %v", in, got, err)
+		}
+		again, err := ParseAddress(got.String())
+		if err != nil || again != got {
+			t.Errorf("%s written as %s: %+v, %v", in, got, again, err)
+		}
+	}
+	for _, in := range []string{"", "sip:", "<sip:a@>", "<sip:a@h:0>", "<sip:a@h:x>", "sip:a b@h", "<sip:a@h> junk", "tel:abcxyz"} {
+		if got, err := ParseAddress(in); err == nil {
+			t.Errorf("%q was read as %+v", in, got)
+		}
+	}
+	if u, _ := ParseURI("tel:+47-22.11"); u.Number() != "+472211" {
+		t.Errorf("number %q", u.Number())
+	}
+	if p, ok := (URI{Host: "[::1]", Params: ";transport=TCP"}).Peer(); !ok || p.Transport != TCP || p.Addr != netip.MustParseAddrPort("[::1]:5060") {
+		t.Errorf("peer %v %v", p, ok)
+	}
+}
+
+// rport and received (RFC 3581, section 4): the answer goes to where the request came from.
+func TestReceived(t *testing.T) {
+	from := Peer{Addr: netip.MustParseAddrPort("192.0.2.9:40000")}
+	m, err := Parse(crlf(strings.Replace(good, "branch", "rport;branch", 1)+"Via: SIP/2.0/UDP far;branch=z9hG4bKb\n\n"), Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	Received(m, from)
+	if v := m.Get("Via"); Param(v, "rport") != "40000" || Param(v, "received") != "192.0.2.9" || ReplyTo(m, from) != from || len(m.Values("Via")) != 2 {
+		t.Errorf("Via %q, reply to %v", v, ReplyTo(m, from))
+	}
+	m, _ = Parse(crlf(good+"\n"), Limits{})
+	Received(m, from)
+	if to := ReplyTo(m, from); Param(m.Get("Via"), "received") != "192.0.2.9" || to.Addr.Port() != 5060 {
+		t.Errorf("Via %q, reply to %v", m.Get("Via"), to)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(benchInvite))
+	f.Add(crlf(good + "Content-Length: 0\n\n"))
+	f.Add(crlf("SIP/2.0 180 Ringing\nv: SIP/2.0/UDP h;branch=z9hG4bKa, SIP/2.0/UDP i\nf: \"a,b\" <sip:a@b>;tag=1\nt: sip:b@c;tag=2\ni: x\nCSeq: 1 INVITE\n\n"))
+	f.Add([]byte("\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := Parse(b, Limits{})
+		if err != nil {
+			return
+		}
+		again, err := Parse(m.Bytes(), Limits{Line: 16384})
+		if err != nil {
+			t.Fatalf("written and not read: %v\n%q", err, m.Bytes())
+		}
+		if again.Method != m.Method || again.Status != m.Status || !slices.Equal(again.Fields, m.Fields) || !bytes.Equal(again.Body, m.Body) {
+			t.Fatalf("%+v\nread again as %+v", m, again)
+		}
+		Received(m, Peer{Addr: netip.MustParseAddrPort("127.0.0.1:1")})
+		ReplyTo(m, Peer{Addr: netip.MustParseAddrPort("127.0.0.1:1")})
+	})
+}
+
+func FuzzStream(f *testing.F) {
+	f.Add([]byte(benchInvite+benchInvite), uint8(3))
+	f.Add(crlf("\n\n"+good+"Content-Length: 2\n\nab"), uint8(1))
+	f.Fuzz(func(t *testing.T, b []byte, step uint8) {
+		whole, pieces := Stream{}, Stream{}
+		count := func(s *Stream) (n int) {
+			for {
+				m, err := s.Next()
+				if m == nil || err != nil {
+					return n
+				}
+				n++
+			}
+		}
+		whole.Feed(b)
+		want := count(&whole)
+		got := 0
+		for i := 0; i < len(b); i += int(step) + 1 {
+			pieces.Feed(b[i:min(len(b), i+int(step)+1)])
+			got += count(&pieces)
+		}
+		if got != want {
+			t.Fatalf("%d messages in pieces, %d in one", got, want)
+		}
+	})
+}
--- a/internal/sip/parse.go
+++ b/internal/sip/parse.go
@@ -50,9 +50,11 @@
 var errNotSIP = &ParseError{What: "start line is neither a SIP/2.0 request nor a response"}
 
 type lineReader struct {
-	src bytes.Reader
-	buf *bufio.Reader
-	tp  textproto.Reader
+	src   bytes.Reader
+	buf   *bufio.Reader
+	tp    textproto.Reader
+	text  []byte // the values, one after another: one string holds them all
+	spans [][2]int
 }
 
 var readers = sync.Pool{New: func() any {
@@ -66,10 +68,7 @@
 	b = bytes.TrimLeft(b, "\r\n")
 	end := bytes.Index(b, []byte("\r\n\r\n"))
 	if end < 0 {
-		if end = bytes.Index(b, []byte("\n\n")); end < 0 {
-			return nil, bad(0, nil, "no empty line behind the header")
-		}
-		end -= 2
+		return nil, bad(0, nil, "no empty line behind the header")
 	}
 	if end+4 > lim.head() {
 		return nil, bad(0, nil, "header of %d bytes, at most %d are read", end+4, lim.head())
@@ -100,6 +99,7 @@
 	defer readers.Put(r)
 	r.src.Reset(b)
 	r.buf.Reset(&r.src)
+	r.text, r.spans = r.text[:0], r.spans[:0]
 	start, err := r.tp.ReadLineBytes()
 	if err != nil || len(start) > lim.Line {
 		return nil, -1, bad(0, nil, "start line of %d bytes, at most %d are read", len(start), lim.Line)
@@ -128,14 +128,14 @@
 			fault = cmpErr(fault, bad(400, m, "field %.40q is not of the form name: value", line))
 			continue
 		}
-		value := string(bytes.TrimSpace(line[colon+1:]))
-		if strings.ContainsAny(value, "\r\x00") {
+		value := bytes.TrimSpace(line[colon+1:])
+		if bytes.IndexByte(value, '\r') >= 0 || bytes.IndexByte(value, 0) >= 0 {
 			fault = cmpErr(fault, bad(400, m, "field %s holds control characters", name))
 			continue
 		}
-		f := Field{longName(name), value}
+		f := Field{Name: longName(name)}
 		if f.Name == "Content-Length" {
-			n, err := strconv.ParseUint(value, 10, 31)
+			n, err := strconv.ParseUint(string(value), 10, 31)
 			if err != nil || length >= 0 && length != int(n) {
 				return nil, -1, bad(400, m, "Content-Length %.40q is not one number of bytes", value)
 			}
@@ -143,6 +143,12 @@
 			continue
 		}
 		m.Fields = append(m.Fields, f)
+		r.spans = append(r.spans, [2]int{len(r.text), len(r.text) + len(value)})
+		r.text = append(r.text, value...)
+	}
+	text := string(r.text)
+	for i, sp := range r.spans {
+		m.Fields[i].Value = text[sp[0]:sp[1]]
 	}
 	if fault == nil {
 		fault = m.check()
@@ -178,7 +184,7 @@
 		m.Reason = "version"
 	case !strings.EqualFold(version, "SIP/2.0"):
 		return errNotSIP
-	case uri == "" || strings.ContainsAny(uri, "<> "):
+	case uri == "" || holds(uri, &notInURI):
 		m.Reason = "uri"
 	}
 	return nil
@@ -242,9 +248,17 @@
 	return p, ok
 }
 
+// tokenChar marks the characters of a token (section 25.1), and a few that some send and nobody minds.
+var tokenChar = func() (t [256]bool) {
+	for c := byte('!'); c < 0x7f; c++ {
+		t[c] = strings.IndexByte(`()<>@,;:\"/[]?={}`, c) < 0
+	}
+	return t
+}()
+
 func isToken(b []byte) bool {
 	for _, c := range b {
-		if c <= ' ' || c >= 0x7f || strings.IndexByte(`()<>@,;:\"/[]?={}`, c) >= 0 {
+		if !tokenChar[c] {
 			return false
 		}
 	}
--- a/internal/sip/peer.go
+++ b/internal/sip/peer.go
@@ -59,6 +59,12 @@
 			rest = f.Value[c:]
 		}
 		host := from.Addr.Addr().String()
+		if i := strings.Index(v.Params, ";rport"); i >= 0 && rest == "" && !strings.Contains(v.Params, "received=") &&
+			(len(v.Params) == i+6 || v.Params[i+6] == ';') { // as nearly every client sends it
+			at := strings.Index(f.Value, ";rport") + 6
+			f.Value = f.Value[:at] + "=" + strconv.Itoa(int(from.Addr.Port())) + ";received=" + host + f.Value[at:]
+			return
+		}
 		_, rport := FindParam(v.Params, "rport")
 		if !rport && strings.Trim(v.Host, "[]") == host {
 			return
--- a/internal/sip/transaction/client.go
+++ b/internal/sip/transaction/client.go
@@ -134,6 +134,9 @@
 		c.last(l.linger(l.Times.T4)) // K
 	}
 	l.user.Response(c, m)
+	if c.state == accepted || c.state == terminated {
+		c.Request = nil // it will not be sent again, and the transaction lingers
+	}
 }
 
 // last keeps the transaction for a while where repeats may still come.
--- a/internal/sip/transaction/server.go
+++ b/internal/sip/transaction/server.go
@@ -58,7 +58,7 @@
 	l := s.layer
 	invite := s.key.method == sip.INVITE
 	switch {
-	case s.state == accepted && s.last == m: // the dialog repeats its 2xx
+	case s.state == accepted && s.last == m && m != nil: // the dialog repeats its 2xx
 		l.Count.Retransmitted++
 		l.send.Send(s.To, m)
 		return true
@@ -104,6 +104,13 @@
 	s.layer.user.Unacked(s, ErrTimeout)
 }
 
+// Acked lets go of a 2xx that the dialog will not repeat any more.
+func (s *Server) Acked() {
+	if s.state == accepted {
+		s.last = nil
+	}
+}
+
 // Drop forgets an unanswered transaction without a word: an answer to it goes another way.
 func (s *Server) Drop() { s.end() }
 
--- a/internal/sip/transport/stack.go
+++ b/internal/sip/transport/stack.go
@@ -171,7 +171,8 @@
 	s.emit([]Event{{Packet: sip.Packet{Peer: p}, Lost: err}})
 }
 
-const readBatch = 64
+// readBatch datagrams are read with one system call at most; each costs its preparation also when none comes.
+const readBatch = 16
 
 func (s *Stack) readUDP() {
 	defer s.wg.Done()
@@ -286,7 +287,15 @@
 			if errors.Is(err, net.ErrClosed) {
 				break
 			}
-			if tries++; tries > 3 { // the error may be that of an earlier datagram; the fourth time it is this one's
+			if failed := failedSends(s.udp); len(failed) > 0 { // the error was an earlier datagram's, and this call has used it up
+				go func() {
+					for _, addr := range failed {
+						s.lost(sip.Peer{Addr: addr}, fmt.Errorf("udp %v: %w", addr, sip.ErrRefused))
+					}
+				}()
+				continue
+			}
+			if tries++; tries > 3 { // not an earlier one's
 				addr := s.spans[len(s.spans)-len(rest)].addr
 				go s.lost(sip.Peer{Addr: addr}, fmt.Errorf("udp %v: %v: %w", addr, err, sip.ErrRefused))
 				rest, tries = rest[1:], 0
