--- a/cmd/larkrouter/demo.go
+++ b/cmd/larkrouter/demo.go
@@ -37,13 +37,13 @@
 	opt.Say = func(at time.Duration, what string) { fmt.Printf("%6.1f s  %s\n", (at - time.Second).Seconds(), what) }
 	run, end := context.WithCancel(ctx)
 	defer end()
-	slack := time.Millisecond
+	answer, slack := time.Millisecond, time.Millisecond
 	var sockets *demo.Sockets
 	if c.Virtual {
 		stage = demo.NewVirtual(c.Seed, rec)
 	} else {
 		sockets = demo.NewSockets(run, rec)
-		stage, slack = sockets, 80*time.Millisecond
+		stage, answer, slack = sockets, 200*time.Millisecond, 100*time.Millisecond
 	}
 	day, err := demo.New(opt, stage, rec)
 	if err != nil {
@@ -67,7 +67,7 @@
 			return err
 		}
 	}
-	rep := rules.Check(records, day.Figures(slack))
+	rep := rules.Check(records, day.Figures(answer, slack))
 	if err := day.Print(os.Stdout, rep); err != nil {
 		return err
 	}
--- a/cmd/larkrouter/serve.go
+++ b/cmd/larkrouter/serve.go
@@ -46,9 +46,6 @@
 	if os.Getenv("GOMAXPROCS") == "" {
 		runtime.GOMAXPROCS(f.Node.Processors)
 	}
-	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(200)
-	}
 	log, flush := daemon.Logger(f.Log, os.Stderr)
 	defer flush()
 	_, err = daemon.Serve(context.Background(), f, binary.LittleEndian.Uint64(b[:]), log, signals)
--- /dev/null
+++ b/internal/arch_test.go
@@ -0,0 +1,95 @@
+package internal_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// Packages that are pure: no sockets, files, loggers or clocks of their own (docs/access-node.md).
+var pure = []string{"actor", "node", "pool", "rules", "sip", "sip/transaction", "standin", "timers", "virtual", "config"}
+
+// What a pure package may not import, and what else is kept out of some.
+func TestLayers(t *testing.T) {
+	forbidden := []string{"net", "os", "os/exec", "log", "log/slog", "syscall"}
+	only := map[string][]string{
+		"rules":           {"larkrouter/internal/sip"},
+		"sip":             {},
+		"sip/transaction": {"larkrouter/internal/sip", "larkrouter/internal/timers"},
+		"timers":          {},
+		"pool":            {"larkrouter", "larkrouter/internal/sip"},
+		"node":            {"larkrouter", "larkrouter/internal/actor", "larkrouter/internal/pool", "larkrouter/internal/sip", "larkrouter/internal/sip/transaction", "larkrouter/internal/timers"},
+	}
+	for _, pkg := range pure {
+		files, err := filepath.Glob(pkg + "/*.go")
+		if err != nil || len(files) == 0 {
+			t.Fatalf("%s: %v, %d files", pkg, err, len(files))
+		}
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") || pkg == "config" && filepath.Base(file) == "load.go" {
+				continue
+			}
+			f, err := parser.ParseFile(token.NewFileSet(), file, nil, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, imp := range f.Imports {
+				path := strings.Trim(imp.Path.Value, `"`)
+				if slices.Contains(forbidden, path) {
+					t.Errorf("%s imports %s: a pure package may not", file, path)
+				}
+				if allowed, ok := only[pkg]; ok && strings.HasPrefix(path, "larkrouter") && !slices.Contains(allowed, path) {
+					t.Errorf("%s imports %s: imports point downwards only", file, path)
+				}
+			}
+		}
+	}
+}
+
+// No pure package reads a clock.
+func TestNoClocks(t *testing.T) {
+	for _, pkg := range pure {
+		err := filepath.WalkDir(pkg, func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() && path != pkg {
+				if err == nil {
+					err = fs.SkipDir
+				}
+				return err
+			}
+			if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return nil
+			}
+			f, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+			if err != nil {
+				return err
+			}
+			for _, name := range selectors(f) {
+				if slices.Contains([]string{"time.Now", "time.Since", "time.Sleep", "time.After", "time.AfterFunc", "time.NewTimer"}, name) {
+					t.Errorf("%s uses %s: time comes as an argument", path, name)
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// selectors are the uses of the form package.Name in a file.
+func selectors(f *ast.File) (all []string) {
+	ast.Inspect(f, func(n ast.Node) bool {
+		if s, ok := n.(*ast.SelectorExpr); ok {
+			if x, ok := s.X.(*ast.Ident); ok {
+				all = append(all, x.Name+"."+s.Sel.Name)
+			}
+		}
+		return true
+	})
+	return all
+}
--- a/internal/demo/day.go
+++ b/internal/demo/day.go
@@ -139,8 +139,8 @@
 }
 
 // Figures are what the rules are checked by.
-func (d *Day) Figures(slack time.Duration) rules.Figures {
-	f := rules.Figures{AnswerSlack: slack, ReleaseGuard: d.settings.ReleaseGuard, DrainGrace: 500 * time.Millisecond,
+func (d *Day) Figures(answer, slack time.Duration) rules.Figures {
+	f := rules.Figures{AnswerSlack: answer, ReleaseGuard: d.settings.ReleaseGuard, DrainGrace: 500 * time.Millisecond,
 		ColdShare: d.settings.ColdShare, RampTime: d.settings.RampTime, TipMultiple: d.settings.TipMultiple,
 		OverloadFor: d.settings.OverloadFor, Capacity: map[string]float64{}, Slack: slack}
 	for _, c := range callerClasses {
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"runtime"
 	"strconv"
 	"testing"
 	"time"
@@ -86,3 +87,70 @@
 		turn(server, sip.NewResponse(out, 200, "", ""))
 	}
 }
+
+// BenchmarkStanding tells the memory of a standing call, just set up and once its transactions have ended.
+func BenchmarkStanding(b *testing.B) {
+	const calls = 10000
+	for b.Loop() {
+		n, err := New(testConfig())
+		if err != nil {
+			b.Fatal(err)
+		}
+		now := time.Second
+		n.Start(now)
+		caller := sip.Peer{Addr: netip.MustParseAddrPort("127.0.0.1:5070")}
+		heap := func() uint64 {
+			var m runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&m)
+			return m.HeapAlloc
+		}
+		before := heap()
+		var sent []actor.Effect
+		turn := func(from sip.Peer, m *sip.Message) {
+			p, err := sip.Parse(m.Bytes(), sip.Limits{})
+			n.Receive(now, sip.Packet{Peer: from, Msg: p, Err: err})
+			n.Advance(now)
+			sent = sent[:0]
+			n.Take(func(e actor.Effect) {
+				if e.Send != nil {
+					sent = append(sent, e)
+				}
+			})
+		}
+		find := func(method string, status int) actor.Effect {
+			for _, e := range sent {
+				if e.Send.Method == method && e.Send.Status == status {
+					return e
+				}
+			}
+			b.Fatalf("no %s %d", method, status)
+			return actor.Effect{}
+		}
+		for i := range calls {
+			now += time.Millisecond
+			id := strconv.Itoa(i)
+			m := sip.NewRequest(sip.INVITE, "sip:100@127.0.0.1:5060", "<sip:7"+id+"@127.0.0.1:5070>;tag=f"+id, "<sip:100@127.0.0.1:5060>", "c"+id, 1, 70)
+			m.Add("Contact", "<sip:127.0.0.1:5070>")
+			m.Push("Via", "SIP/2.0/UDP 127.0.0.1:5070;rport;branch=z9hG4bK"+id)
+			m.Body = []byte("v=0\r\n")
+			turn(caller, m)
+			out := find(sip.INVITE, 0)
+			ok := sip.NewResponse(out.Send, 200, "", "s"+id)
+			ok.Add("Contact", "<sip:"+out.To.Addr.String()+">")
+			turn(out.To, ok)
+			up := find("", 200)
+			ack := sip.NewRequest(sip.ACK, "sip:127.0.0.1:5060", m.Get("From"), up.Send.Get("To"), "c"+id, 1, 70)
+			ack.Push("Via", "SIP/2.0/UDP 127.0.0.1:5070;rport;branch=z9hG4bKa"+id)
+			turn(caller, ack)
+		}
+		fresh := heap()
+		for end := now + 40*time.Second; now < end; now += 100 * time.Millisecond {
+			n.Advance(now)
+			n.Take(func(actor.Effect) {})
+		}
+		b.ReportMetric(float64(fresh-before)/calls, "B/fresh-call")
+		b.ReportMetric(float64(heap()-before)/calls, "B/standing-call")
+		runtime.KeepAlive(n)
+	}
+}
--- a/internal/node/dialog.go
+++ b/internal/node/dialog.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"larkrouter/internal/sip"
@@ -50,24 +51,34 @@
 		a.down = &leg{call: k, try: a, server: true, callID: a.tx.Request.Get("Call-ID"),
 			localTag: a.tx.Request.Tag("From"), local: a.tx.Request.Get("From"), localSeq: 1, inviteSeq: 1, to: a.tx.To}
 		seq, _, _ := in.CSeq()
-		a.up = &leg{call: k, try: a, callID: in.Get("Call-ID"), localTag: n.token(), remoteTag: in.Tag("From"),
-			remote: in.Get("From"), remoteSeq: seq, to: k.tx.From, routes: in.Values("Record-Route")}
+		// Copies: a field is part of its whole message's text, which a standing call need not hold.
+		a.up = &leg{call: k, try: a, callID: strings.Clone(in.Get("Call-ID")), localTag: n.token(),
+			remote: strings.Clone(in.Get("From")), remoteSeq: seq, to: k.tx.From, routes: cloneAll(in.Values("Record-Route"))}
+		a.up.remoteTag = sip.Param(a.up.remote, "tag")
 		a.up.local = in.Get("To") + ";tag=" + a.up.localTag
 		a.up.retarget(in, k.tx.From)
 		a.down.peer, a.up.peer = a.up, a.down
 		n.legs[a.down.localTag], n.legs[a.up.localTag] = a.down, a.up
 	}
 	if tag != "" && (a.down.remoteTag == "" || m.Status >= 200) {
-		a.down.remoteTag, a.down.remote = tag, m.Get("To")
+		a.down.remote = strings.Clone(m.Get("To"))
+		a.down.remoteTag = sip.Param(a.down.remote, "tag")
 		rr := m.Values("Record-Route")
 		for i, j := 0, len(rr)-1; i < j; i, j = i+1, j-1 {
 			rr[i], rr[j] = rr[j], rr[i]
 		}
-		a.down.routes = rr
+		a.down.routes = cloneAll(rr)
 		a.down.retarget(m, a.tx.To)
 	}
 }
 
+func cloneAll(s []string) []string {
+	for i := range s {
+		s[i] = strings.Clone(s[i])
+	}
+	return s
+}
+
 // retarget takes the remote target from a message's Contact; from is where the message came from or went to.
 func (l *leg) retarget(m *sip.Message, from sip.Peer) {
 	c, err := sip.ParseAddress(m.Get("Contact"))
--- a/internal/node/indialog.go
+++ b/internal/node/indialog.go
@@ -245,7 +245,7 @@
 }
 
 func (n *Node) tellEnded(k *call, outcome larkrouter.Outcome, rep []float64) {
-	if k.gone {
+	if k.gone || k.down == nil {
 		return
 	}
 	k.gone = true
@@ -265,6 +265,10 @@
 		rep = report(m, l.try.lines)
 	}
 	n.tellEnded(l.call, larkrouter.Completed, rep)
+	// The INVITE's transactions linger for 32 s more; they need not hold the legs.
+	k := l.call
+	k.tx.User, k.down = nil, nil
+	l.try.up, l.try.down = nil, nil
 }
 
 func (k *call) legs() (down, up *leg) { return k.down, k.down.peer }
--- /dev/null
+++ b/internal/snmp/ber/ber_test.go
@@ -0,0 +1,78 @@
+package ber
+
+import (
+	"bytes"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func values() *rapid.Generator[Value] {
+	return rapid.Custom(func(t *rapid.T) Value {
+		v := Value{Tag: rapid.SampledFrom([]byte{Integer, OctetString, Null, ObjectID, IPAddress, Counter32, Gauge32, TimeTicks, Opaque, Counter64, NoObject, EndOfView}).Draw(t, "tag")}
+		switch v.Tag {
+		case Integer:
+			v.Int = rapid.Int64().Draw(t, "int")
+		case OctetString, IPAddress, Opaque:
+			v.Bytes = rapid.SliceOfN(rapid.Byte(), 1, 300).Draw(t, "bytes")
+		case ObjectID:
+			v.OID = oid().Draw(t, "oid")
+		case Counter32, Gauge32, TimeTicks:
+			v.Uint = uint64(rapid.Uint32().Draw(t, "uint"))
+		case Counter64:
+			v.Uint = rapid.Uint64().Draw(t, "uint")
+		}
+		return v
+	})
+}
+
+func oid() *rapid.Generator[OID] {
+	return rapid.Custom(func(t *rapid.T) OID {
+		o := OID{rapid.Uint32Range(0, 2).Draw(t, "a"), rapid.Uint32Range(0, 39).Draw(t, "b")}
+		return append(o, rapid.SliceOfN(rapid.Uint32(), 0, 20).Draw(t, "rest")...)
+	})
+}
+
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := PDU{Type: rapid.SampledFrom([]byte{Get, GetNext, Response, GetBulk, Report}).Draw(t, "type"),
+			ID: rapid.Int32().Draw(t, "id"), Status: rapid.Int32().Draw(t, "status"), Index: rapid.Int32().Draw(t, "index")}
+		for range rapid.IntRange(0, 5).Draw(t, "vars") {
+			p.Vars = append(p.Vars, Var{oid().Draw(t, "name"), values().Draw(t, "value")})
+		}
+		got, err := ReadPDU(AppendPDU(nil, p))
+		if err != nil || !reflect.DeepEqual(got, p) {
+			t.Fatalf("%+v, %v\nof %+v", got, err, p)
+		}
+	})
+}
+
+func TestOIDs(t *testing.T) {
+	for _, s := range []string{"", "1", "1.40", "3.1", "1.3.4294967296", "1.3.x", "1..3"} {
+		if o, err := ParseOID(s); err == nil {
+			t.Errorf("%q was read as %v", s, o)
+		}
+	}
+	o := MustOID(".1.3.6.1")
+	if o.String() != "1.3.6.1" || !MustOID("1.3.6.1.4").Under(o) || o.Under(MustOID("1.3.6.1.4")) || o.Compare(MustOID("1.3.6.0.9")) <= 0 {
+		t.Error("order or text of identifiers")
+	}
+}
+
+func FuzzReadPDU(f *testing.F) {
+	f.Add(AppendPDU(nil, PDU{Type: Get, ID: 1, Vars: []Var{{MustOID("1.3.6.1.2.1.1.1.0"), Value{Tag: Null}}}}))
+	f.Add([]byte{0xa0, 0x84, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0xa5, 0x0b, 2, 1, 0, 2, 1, 0, 2, 1, 0, 0x30, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		p, err := ReadPDU(b)
+		if err != nil {
+			return
+		}
+		again := AppendPDU(nil, p)
+		q, err := ReadPDU(again)
+		if err != nil || !bytes.Equal(AppendPDU(nil, q), again) {
+			t.Fatalf("%v: %x", err, again)
+		}
+	})
+}
