--- a/api.go
+++ b/api.go
@@ -272,3 +272,41 @@
 	}
 	return newController(s, seed), nil
 }
+
+// ServerView is what a controller makes of a call server, for operators to see.
+type ServerView struct {
+	ID      uint32
+	State   ServerState
+	Rate    float64       // set-ups a second that its gate lets through; infinite: no limit
+	Delay   time.Duration // expected answer time of a set-up
+	Waiting int           // set-ups without an answer
+}
+
+// ServerState is the state of a server in a controller's view.
+type ServerState uint8
+
+// The states. One that is several at once is the last of them.
+const (
+	ServerOpen ServerState = iota
+	ServerPressed
+	ServerCold
+	ServerClosed
+)
+
+// View appends what the controller makes of each server, in order of their ids. It changes nothing.
+func (c *Controller) View(to []ServerView) []ServerView {
+	for _, s := range c.servers {
+		v := ServerView{ID: s.ID, Rate: s.rate, Delay: seconds(c.delay(s)), Waiting: len(s.out)}
+		if c.pressed(s) {
+			v.State = ServerPressed
+		}
+		if s.coldAt >= 0 {
+			v.State = ServerCold
+		}
+		if c.now < s.closedUntil || s.closeFor > 0 {
+			v.State = ServerClosed
+		}
+		to = append(to, v)
+	}
+	return to
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,6 +27,7 @@
 
 // File is the configuration file.
 type File struct {
+	Name    string        `toml:"-"` // of the file, with a digest of its content
 	Node    Node          `toml:"node"`
 	Listen  Listen        `toml:"listen"`
 	Fleet   Fleet         `toml:"fleet"`
@@ -40,6 +41,7 @@
 	Timers  Timers        `toml:"timers"`
 	Limits  Limits        `toml:"limits"`
 	Passing Passing       `toml:"pass"`
+	SNMP    SNMP          `toml:"snmp"`
 }
 
 // Node names this node.
@@ -155,6 +157,7 @@
 		Log:     Log{Format: "json", Level: "info", Calls: true},
 		Timers:  Timers{T1: ms(500), T2: ms(4000), T4: ms(5000)},
 		Limits:  Limits{Line: 4096, Fields: 128, Body: 65535, Connections: 4096, Connect: ms(2000), Idle: ms(600000)},
+		SNMP:    snmpDefaults(),
 		Passing: Passing{Methods: node.DefaultPass, Options: node.DefaultOptions},
 	}
 }
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"reflect"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-playground/validator/v10"
 	"github.com/pelletier/go-toml/v2"
 
@@ -28,6 +30,7 @@
 // Parse reads and checks a file's content; name is for the errors.
 func Parse(name string, b []byte) (*File, error) {
 	f := defaults()
+	f.Name = fmt.Sprintf("%s %016x", filepath.Base(name), xxhash.Sum64(b))
 	if err := decode(name, b, &f); err != nil {
 		return nil, err
 	}
@@ -112,6 +115,10 @@
 		return e.Param() + " or more is right"
 	case "lte":
 		return e.Param() + " or less is right"
+	case "max":
+		return e.Param() + " characters at most are right"
+	case "ltefield":
+		return "no more than overload_enter is right"
 	case "ltfield":
 		return "less than " + strings.ToLower(e.Param()) + " is right"
 	case "oneof":
@@ -213,6 +220,7 @@
 		}
 		seen[r.Prefix] = true
 	}
+	f.snmpAcross(bad)
 	c := f.NodeConfig(1)
 	if _, err := larkrouter.New(c.Settings, 1); err != nil && len(errs) == 0 {
 		bad("rules", "%v", err)
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"larkrouter/internal/actor"
@@ -21,6 +22,25 @@
 	events chan []transport.Event
 	calls  chan func(now time.Duration)
 	done   chan struct{}
+	busy   atomic.Uint64 // per cent, see Busy
+}
+
+// Busy is the share of its time, per cent, that the loop worked over the last second or so.
+func (l *Loop) Busy() uint64 { return l.busy.Load() }
+
+// busyMeter adds up the time spent in turns.
+type busyMeter struct {
+	from time.Duration
+	work time.Duration
+}
+
+func (b *busyMeter) turn(l *Loop, began time.Duration) {
+	now := l.Clock()
+	b.work += now - began
+	if span := now - b.from; span >= time.Second {
+		l.busy.Store(uint64(100 * b.work / span))
+		b.from, b.work = now, 0
+	}
 }
 
 // Monotonic is a clock that begins at one second, as the module's zero means long ago.
@@ -71,6 +91,7 @@
 	defer l.stack.Close()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	meter := busyMeter{from: l.Clock()}
 	l.Actor.Start(l.Clock())
 	l.finish(l.Clock())
 	for {
@@ -104,6 +125,7 @@
 			break
 		}
 		l.finish(now)
+		meter.turn(l, now)
 	}
 }
 
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -39,6 +39,16 @@
 	if f.Pool.File != "" {
 		go watch(ctx, l, n, f.Pool, log)
 	}
+	if f.SNMP.Listen != "" {
+		s, err := ListenSNMP(f, l, n, log)
+		if err != nil {
+			return false, err
+		}
+		agentEnded := make(chan struct{})
+		go func() { defer close(agentEnded); s.Run(ctx) }()
+		defer func() { stop(); <-agentEnded }()
+		log.Info("snmp agent", "address", s.Addr().String(), "boots", s.boots)
+	}
 	log.Info("serving", "udp", l.stack.UDPAddr().String(), "tcp", l.stack.TCPAddr().String(), "fleet_size", f.Fleet.Size,
 		"rank", f.Fleet.Rank, "classes", len(f.Class))
 	select {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,19 +30,22 @@
 	numbers *pool.Numbers
 	now     time.Duration
 
-	calls   map[uint64]*call
-	legs    map[string]*leg  // by own tag
-	merged  map[string]*call // by caller's Call-ID, From tag and CSeq
-	nextID  uint64
-	fresh   []*call // accepted in this turn, not yet handed to the module
-	wakes   map[uint64]*timers.Timer
-	sub     subscription
-	drain   bool
-	out     []actor.Effect
-	Stats   Stats
-	badLog  limiter
-	handing []larkrouter.Event // told while the module is being asked
-	asking  bool
+	calls     map[uint64]*call
+	legs      map[string]*leg  // by own tag
+	merged    map[string]*call // by caller's Call-ID, From tag and CSeq
+	nextID    uint64
+	fresh     []*call // accepted in this turn, not yet handed to the module
+	wakes     map[uint64]*timers.Timer
+	sub       subscription
+	drain     bool
+	out       []actor.Effect
+	Stats     Stats
+	badLog    limiter
+	views     []larkrouter.ServerView
+	watched   map[uint32]*watched
+	listState ListState
+	handing   []larkrouter.Event // told while the module is being asked
+	asking    bool
 }
 
 // New makes a node with the project's module.
@@ -64,7 +67,7 @@
 	}
 	n := &Node{cfg: cfg, module: module, rng: rand.New(rand.NewPCG(cfg.Seed, 0x736970)), list: pool.NewList(),
 		numbers: pool.NewNumbers(cfg.Routes), calls: map[uint64]*call{}, legs: map[string]*leg{},
-		merged: map[string]*call{}, wakes: map[uint64]*timers.Timer{}}
+		merged: map[string]*call{}, wakes: map[uint64]*timers.Timer{}, watched: map[uint32]*watched{}}
 	n.layer = transaction.New(cfg.Times, &n.heap, (*user)(n), (*sender)(n))
 	n.Stats.Classes = make([]ClassStats, len(cfg.Classes))
 	n.badLog = limiter{every: 5 * time.Second}
@@ -121,6 +124,7 @@
 }
 
 func (n *Node) listNews(news pool.News) {
+	n.listState = ListHeld
 	n.out = append(n.out, actor.Effect{Note: &news})
 	for _, k := range news.Changed {
 		n.log(Record{Level: Info, Event: "server", Server: k.ID, Cause: PhaseName(k.Phase), Peer: k.Peer})
@@ -230,7 +234,10 @@
 			t = &timers.Timer{}
 			n.wakes[a.Cookie] = t
 		}
-		n.heap.Set(t, n.now+a.After, func() { n.tell(larkrouter.Timer{Cookie: a.Cookie}) })
+		n.heap.Set(t, n.now+a.After, func() {
+			n.tell(larkrouter.Timer{Cookie: a.Cookie})
+			n.watch()
+		})
 	case larkrouter.Subscribe:
 		n.sub.want(a.On)
 	case larkrouter.FetchList:
--- a/internal/node/subscribe.go
+++ b/internal/node/subscribe.go
@@ -142,6 +142,9 @@
 	n := s.n
 	s.drop()
 	n.Stats.ListFails++
+	if n.listState == ListHeld {
+		n.listState = ListLost
+	}
 	n.log(Record{Level: Warn, Event: "list", Cause: "list server " + n.cfg.ListServer.String() + ": " + err.Error() +
 		"; the list of version " + strconv.FormatUint(n.list.Version(), 10) + " stays", Peer: n.cfg.ListServer})
 	n.tell(larkrouter.ServerList{Kind: larkrouter.ListFailed})
@@ -179,6 +182,9 @@
 		return
 	}
 	s.state = subActive
+	if n.listState == ListLost {
+		n.listState = ListHeld
+	}
 	if secs, err := strconv.Atoi(sip.Param(m.Get("Subscription-State"), "expires")); err == nil && secs > 0 {
 		s.lasts(time.Duration(secs) * time.Second)
 	}
