--- a/cmd/larkrouter/main.go
+++ b/cmd/larkrouter/main.go
@@ -14,6 +14,7 @@
 	Check   checkCmd   `cmd:"" help:"Check a configuration file and say what it makes of the node."`
 	Demo    demoCmd    `cmd:"" help:"Play a scripted bad day on loopback around a real node, and check the five rules."`
 	Measure measureCmd `cmd:"" help:"Measure a node in a process of its own: calls a second, CPU a call, time added, memory."`
+	SNMP    snmpCmd    `cmd:"" name:"snmp" help:"Ask an SNMP agent; print the MIB."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- a/cmd/larkrouter/measure.go
+++ b/cmd/larkrouter/measure.go
@@ -16,6 +16,7 @@
 	Open      int     `default:"50" help:"Calls that stand at once."`
 	Calls     int     `default:"20000" help:"Calls in all."`
 	Extra     string  `help:"More configuration of the node, TOML."`
+	Walk      bool    `help:"An SNMP manager walks the node's MIB all the time."`
 	Profile   string  `type:"path" help:"Write a CPU profile of the node to this file."`
 }
 
@@ -30,7 +31,7 @@
 		return err
 	}
 	fmt.Printf("%s, %.0f calls/s, %d open, %d calls, %d processors\n", c.Transport, c.Rate, c.Open, c.Calls, runtime.NumCPU())
-	r, err := measure.Run(ctx, measure.Options{Program: self, TCP: c.Transport == "tcp", Rate: c.Rate, Open: c.Open, Calls: c.Calls, Extra: c.Extra, Profile: c.Profile})
+	r, err := measure.Run(ctx, measure.Options{Program: self, TCP: c.Transport == "tcp", Rate: c.Rate, Open: c.Open, Calls: c.Calls, Extra: c.Extra, Walk: c.Walk, Profile: c.Profile})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmd/larkrouter/snmp.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/gosnmp/gosnmp"
+
+	"larkrouter/internal/daemon"
+	"larkrouter/internal/snmp/mib"
+)
+
+type snmpCmd struct {
+	Walk snmpWalkCmd `cmd:"" help:"Walk a part of an agent's tree."`
+	Get  snmpGetCmd  `cmd:"" help:"Get single values."`
+	Mib  snmpMibCmd  `cmd:"" help:"Print LARKROUTER-MIB."`
+}
+
+type snmpPeer struct {
+	Agent     string        `default:"127.0.0.1:1161" help:"Address of the agent."`
+	Community string        `short:"C" help:"Community, for v2c."`
+	User      string        `short:"u" help:"User, for v3."`
+	Auth      string        `enum:",sha224,sha256,sha384,sha512" default:"" help:"Authentication: sha224, sha256, sha384 or sha512."`
+	AuthPass  string        `env:"LARKROUTER_SNMP_AUTH" help:"Its passphrase."`
+	PrivPass  string        `env:"LARKROUTER_SNMP_PRIV" help:"Passphrase for AES privacy."`
+	Timeout   time.Duration `default:"2s" help:"Wait for each answer."`
+}
+
+func (p *snmpPeer) open() (*gosnmp.GoSNMP, error) {
+	at, err := netip.ParseAddrPort(p.Agent)
+	if err != nil {
+		return nil, fmt.Errorf("agent %q: a numeric host:port is right", p.Agent)
+	}
+	if (p.Community == "") == (p.User == "") {
+		return nil, fmt.Errorf("one of --community and --user is right")
+	}
+	g := &gosnmp.GoSNMP{Target: at.Addr().String(), Port: at.Port(), Timeout: p.Timeout, Retries: 2, MaxOids: gosnmp.MaxOids,
+		MaxRepetitions: 25, Version: gosnmp.Version2c, Community: p.Community}
+	if p.User != "" {
+		u := daemon.ClientUser(p.User, p.Auth, p.AuthPass, p.PrivPass)
+		g.Version, g.SecurityModel, g.SecurityParameters, g.MsgFlags = gosnmp.Version3, gosnmp.UserSecurityModel, u, daemon.ClientFlags(u)
+	}
+	if err := g.Connect(); err != nil {
+		return nil, fmt.Errorf("agent %s: %w", p.Agent, err)
+	}
+	return g, nil
+}
+
+func printPDU(v gosnmp.SnmpPDU) error {
+	value := v.Value
+	if b, ok := value.([]byte); ok {
+		value = string(b)
+	}
+	_, err := fmt.Fprintf(os.Stdout, "%s = %v: %v\n", v.Name, v.Type, value)
+	return err
+}
+
+type snmpWalkCmd struct {
+	snmpPeer
+	OID string `arg:"" optional:"" default:"1.3" help:"Root of the part."`
+}
+
+func (c *snmpWalkCmd) Run() error {
+	g, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer g.Close()
+	if err := g.BulkWalk(c.OID, printPDU); err != nil {
+		return fmt.Errorf("walking %s at %s: %w", c.OID, c.Agent, err)
+	}
+	return nil
+}
+
+type snmpGetCmd struct {
+	snmpPeer
+	OIDs []string `arg:"" help:"Instances, as 1.3.6.1.2.1.1.3.0."`
+}
+
+func (c *snmpGetCmd) Run() error {
+	g, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer g.Close()
+	r, err := g.Get(c.OIDs)
+	if err != nil {
+		return fmt.Errorf("getting from %s: %w", c.Agent, err)
+	}
+	for _, v := range r.Variables {
+		if err := printPDU(v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type snmpMibCmd struct{}
+
+func (snmpMibCmd) Run() error {
+	fmt.Print(mib.Module(mib.Arc))
+	return nil
+}
--- a/internal/config/snmp.go
+++ b/internal/config/snmp.go
@@ -78,7 +78,7 @@
 
 func snmpDefaults() SNMP {
 	d := notify.Defaults
-	return SNMP{Arc: mib.Arc.String(), PerSecond: 200, MaxSize: 1400, Busy: 70, Notify: SNMPNotify{Settle: Duration(d.Settle), Window: Duration(d.Window),
+	return SNMP{Arc: mib.Arc.String(), PerSecond: 100, MaxSize: 1400, Busy: 70, Notify: SNMPNotify{Settle: Duration(d.Settle), Window: Duration(d.Window),
 		MinGap: Duration(d.MinGap), ListAfter: Duration(d.ListAfter), Enter: d.Enter, Leave: d.Leave}}
 }
 
--- /dev/null
+++ b/internal/daemon/snmp_test.go
@@ -0,0 +1,261 @@
+package daemon
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gosnmp/gosnmp"
+
+	"larkrouter/internal/config"
+	"larkrouter/internal/snmp/mib"
+	"larkrouter/internal/standin"
+)
+
+func snmpConfig(t *testing.T, targets ...string) (text string, at netip.AddrPort) {
+	at = freePort(t)
+	return fmt.Sprintf(`
+[snmp]
+listen = %q
+state = %q
+requests_per_second = 5000
+[[snmp.community]]
+name = "public"
+[[snmp.user]]
+name = "ops"
+auth = "sha256"
+auth_pass = "authentic pass"
+priv_pass = "private pass"
+[snmp.notify]
+settle = "500ms"
+min_gap = "100ms"
+%s`, at, filepath.Join(t.TempDir(), "engine.toml"), strings.Join(targets, "\n")), at
+}
+
+func manager(t *testing.T, at netip.AddrPort, v3 bool) *gosnmp.GoSNMP {
+	t.Helper()
+	g := &gosnmp.GoSNMP{Target: at.Addr().String(), Port: at.Port(), Version: gosnmp.Version2c, Community: "public",
+		Timeout: 5 * time.Second, Retries: 3, MaxOids: gosnmp.MaxOids, MaxRepetitions: 25}
+	if v3 {
+		u := ClientUser("ops", "sha256", "authentic pass", "private pass")
+		g.Version, g.SecurityModel, g.SecurityParameters, g.MsgFlags = gosnmp.Version3, gosnmp.UserSecurityModel, u, ClientFlags(u)
+	}
+	if err := g.Connect(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { g.Close() })
+	return g
+}
+
+// walk reads the whole MIB: numbers and text by name and index.
+func walk(t *testing.T, g *gosnmp.GoSNMP) (nums map[string]uint64, rows int) {
+	t.Helper()
+	nums = map[string]uint64{}
+	byOID := map[string]string{}
+	for _, group := range mib.Groups {
+		for _, o := range group.Objects {
+			oid, _, _ := mib.Find(mib.Arc, o.Name)
+			byOID["."+oid.String()] = o.Name
+		}
+	}
+	err := g.BulkWalk("."+mib.Arc.String(), func(v gosnmp.SnmpPDU) error {
+		rows++
+		dot := strings.LastIndexByte(v.Name, '.')
+		if _, text := v.Value.([]byte); !text {
+			nums[byOID[v.Name[:dot]]+v.Name[dot:]] = gosnmp.ToBigInt(v.Value).Uint64()
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return nums, rows
+}
+
+// logged counts what the node's own log says of class 1.
+func logged(log string) map[string]uint64 {
+	c := map[string]uint64{}
+	for _, line := range strings.Split(log, "\n") {
+		has := func(s string) bool { return strings.Contains(line, s) }
+		switch {
+		case has("msg=stands") && has(`outcome="in aim"`):
+			c["larkClassInAim"]++
+		case has("msg=stands"):
+			c["larkClassLate"]++
+		case !has("msg=call "):
+		case has("outcome=refused"):
+			c["larkClassRefused"]++
+		case has("outcome=failed"):
+			c["larkClassFailed"]++
+		case has(`outcome="given up"`):
+			c["larkClassGivenUp"]++
+		case has("cut=true"):
+			c["larkClassCut"]++
+		default:
+			c["larkClassCompleted"]++
+		}
+	}
+	return c
+}
+
+var classCounts = []string{"larkClassInAim", "larkClassLate", "larkClassRefused", "larkClassFailed", "larkClassGivenUp", "larkClassCut", "larkClassCompleted"}
+
+// A manager walks again and again while the node runs with faults. Every value lies between what the log says before
+// and after; at rest they agree, over v2c and v3.
+func TestWalkAgreesWithLog(t *testing.T) {
+	text, at := snmpConfig(t)
+	s := serve(t, 200*time.Millisecond, "1s", text)
+	if err := os.WriteFile(s.file, append(mustRead(t, s.file), fmt.Sprintf("[[server]]\nid = 2\nnumber = 1\naddress = %q\n", freePort(t))...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.await(t, "server=2")
+	two, three := manager(t, at, false), manager(t, at, true)
+	s.loop.Call(func(time.Duration) { s.callers.Rate(150) })
+	for i := range 6 {
+		if i == 3 { // a fault: the server turns away what waits
+			s.loop.Call(func(time.Duration) { s.callers.Rate(400) })
+		}
+		before := logged(s.log.String())
+		time.Sleep(3 * snmpEvery) // any snapshot from now on is younger than that count
+		g := two
+		if i%2 == 1 {
+			g = three
+		}
+		got, _ := walk(t, g)
+		after := logged(s.log.String())
+		for _, name := range classCounts {
+			if v := got[name+".1"]; v < before[name] || v > after[name] {
+				t.Errorf("walk %d: %s is %d, the log says %d before and %d after", i, name, v, before[name], after[name])
+			}
+			if got[name+".1"] > got[strings.Replace(name, "larkClass", "larkClassHC", 1)+".1"] {
+				t.Errorf("walk %d: %s is over its 64-bit form", i, name)
+			}
+		}
+	}
+	s.loop.Call(func(time.Duration) { s.callers.Stop() })
+	for deadline := time.Now().Add(60 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		open := 0
+		s.loop.Call(func(time.Duration) { open = s.callers.Open() })
+		if open == 0 {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d calls open", open)
+		}
+	}
+	time.Sleep(4 * snmpEvery)
+	want := logged(s.log.String())
+	for _, g := range []*gosnmp.GoSNMP{two, three} {
+		got, rows := walk(t, g)
+		var sum uint64
+		for _, name := range classCounts {
+			if got[name+".1"] != want[name] {
+				t.Errorf("at rest %s is %d, the log says %d", name, got[name+".1"], want[name])
+			}
+		}
+		for _, name := range classCounts[:5] {
+			sum += got[name+".1"]
+		}
+		if got["larkClassOffered.1"] != sum || sum < 300 || rows < 140 || got["larkNodeCallsStanding.0"] != 0 {
+			t.Errorf("offered %d, sum of outcomes %d, %d rows", got["larkClassOffered.1"], sum, rows)
+		}
+		if got["larkServerNoConnection.2"] == 0 || got["larkServerStood.1"] != want["larkClassInAim"]+want["larkClassLate"] {
+			t.Errorf("servers: %d refused at the one that is down, %d stood", got["larkServerNoConnection.2"], got["larkServerStood.1"])
+		}
+	}
+	if c := s.counts(t, func(standin.ClassCounts) bool { return true }); c.InAim+c.Late != want["larkClassInAim"]+want["larkClassLate"] {
+		t.Errorf("callers counted %+v", c)
+	}
+}
+
+func mustRead(t *testing.T, path string) []byte {
+	t.Helper()
+	b, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// A server that can't be reached is told to the managers; one of them is stuck and delays nobody.
+func TestNotifications(t *testing.T) {
+	stuck, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}) // reads nothing, acknowledges nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stuck.Close()
+	var closed, informs atomic.Int32
+	listener := gosnmp.NewTrapListener()
+	listener.Params = &gosnmp.GoSNMP{Version: gosnmp.Version2c, Community: "public"}
+	listener.OnNewTrap = func(p *gosnmp.SnmpPacket, _ *net.UDPAddr) {
+		if p.PDUType == gosnmp.InformRequest {
+			informs.Add(1)
+		}
+		for _, v := range p.Variables {
+			if v.Value == "."+mib.NotificationOID(mib.Arc, 1).String() {
+				closed.Add(1)
+			}
+		}
+	}
+	to := freePort(t)
+	go func() { _ = listener.Listen(to.String()) }()
+	<-listener.Listening()
+	defer listener.Close()
+	text, _ := snmpConfig(t, fmt.Sprintf("[[snmp.target]]\naddress = %q\ncommunity = \"public\"\ninform = true\nretries = 5\ntimeout = \"10s\"", stuck.LocalAddr()),
+		fmt.Sprintf("[[snmp.target]]\naddress = %q\ncommunity = \"public\"\ninform = true\nretries = 2", to))
+	s := serve(t, 100*time.Millisecond, "1s", text)
+	if err := os.WriteFile(s.file, fmt.Appendf(nil, "[[server]]\nid = 2\nnumber = 1\naddress = %q\n", freePort(t)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.await(t, "server=2")
+	s.loop.Call(func(time.Duration) { s.callers.Rate(30) })
+	for deadline := time.Now().Add(30 * time.Second); closed.Load() == 0 || informs.Load() == 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d closed, %d informs\n%s", closed.Load(), informs.Load(), s.log.String())
+		}
+	}
+}
+
+// Engine id and boots outlive a restart; a file that makes no sense is refused, not replaced.
+func TestEngineState(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "engine.toml")
+	id, boots, err := loadEngine(path)
+	if err != nil || boots != 1 || len(id) != 13 {
+		t.Fatalf("%x %d %v", id, boots, err)
+	}
+	again, boots, err := loadEngine(path)
+	if err != nil || boots != 2 || string(again) != string(id) {
+		t.Errorf("%x %d %v", again, boots, err)
+	}
+	if err := os.WriteFile(path, []byte("engine_id = \"zz\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := loadEngine(path); err == nil {
+		t.Error("nonsense was taken")
+	}
+}
+
+func TestSNMPConfig(t *testing.T) {
+	base := "[listen]\nudp = \"127.0.0.1:5060\"\n[[class]]\nname = \"v\"\naim = \"1s\"\ndeadline = \"9s\"\nworth = 1.0\n[[server]]\nid = 1\nnumber = 0\naddress = \"127.0.0.1:5081\"\n"
+	for text, want := range map[string]string{
+		"[snmp]\nlisten = \"0.0.0.0:161\"\n[[snmp.community]]\nname = \"public\"\n":                                                  "snmp.community[0].name: \"public\" on 0.0.0.0:161",
+		"[snmp]\nlisten = \"127.0.0.1:161\"\n[[snmp.user]]\nname = \"u\"\n":                                                          "snmp.state: is needed with users",
+		"[snmp]\nlisten = \"127.0.0.1:161\"\nstate = \"x\"\n[[snmp.user]]\nname = \"u\"\nauth = \"sha256\"\nauth_pass = \"short\"\n": "passphrase of 5 characters",
+		"[snmp]\nlisten = \"127.0.0.1:161\"\n[[snmp.community]]\nname = \"c\"\nview = \"v\"\n":                                       "snmp.community[0].view: \"v\" is no [[snmp.view]]",
+		"[snmp]\narc = \"1.x\"\n": "snmp.arc: object identifier",
+		"[snmp]\nlisten = \"127.0.0.1:161\"\n[[snmp.target]]\naddress = \"127.0.0.1:162\"\n": "snmp.target[0]: one of community and user is right",
+	} {
+		if _, err := config.Parse("n.toml", []byte(base+text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got  %v\nwant %s", err, want)
+		}
+	}
+	if _, err := config.Parse("n.toml", []byte(base+"[snmp]\nlisten = \"127.0.0.1:161\"\n[[snmp.community]]\nname = \"public\"\n")); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -16,6 +16,8 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/gosnmp/gosnmp"
+
 	"larkrouter/internal/daemon"
 	"larkrouter/internal/sip"
 	"larkrouter/internal/sip/transport"
@@ -30,6 +32,7 @@
 	Open    int     // calls that stand at once
 	Calls   int
 	Extra   string // more configuration, TOML
+	Walk    bool   // an SNMP manager walks the node's MIB all the time
 	Profile string // of the node's CPU, to this file; empty: none
 }
 
@@ -44,6 +47,7 @@
 	DirectMedian  time.Duration // set-up without it
 	DirectP99     time.Duration
 	Resident      int64 // bytes, most seen
+	Walks, Rows   int   // of the SNMP manager
 }
 
 // Run measures, first straight to a server, then through the node.
@@ -139,6 +143,16 @@
 		return r, err
 	}
 	defer os.RemoveAll(dir)
+	var agentAt netip.AddrPort
+	if o.Walk {
+		l, at, err := open()
+		if err != nil {
+			return r, err
+		}
+		l.Stack().Close()
+		agentAt = at
+		o.Extra += fmt.Sprintf("\n[snmp]\nlisten = %q\n[[snmp.community]]\nname = \"measure\"\n", at)
+	}
 	file := filepath.Join(dir, "node.toml")
 	text := fmt.Sprintf("[listen]\nudp = %q\ntcp = %q\n[log]\nlevel = \"info\"\n[[class]]\nname = \"voice\"\naim = \"1s\"\ndeadline = \"9s\"\nworth = 1.0\n%s%s",
 		nodeAt, nodeAt, list.String(), o.Extra)
@@ -173,9 +187,14 @@
 	if _, _, err := load(nodeAt, min(1000, o.Calls)); err != nil { // warm
 		return r, err
 	}
+	walked := func() {}
+	if o.Walk {
+		walked = walker(ctx, agentAt, &r)
+	}
 	before, _ := cpu(cmd.Process.Pid)
 	act, took, err := load(nodeAt, o.Calls)
 	after, _ := cpu(cmd.Process.Pid)
+	walked()
 	if err != nil {
 		return r, fmt.Errorf("through the node: %w", err)
 	}
@@ -189,6 +208,27 @@
 	return r, nil
 }
 
+// walker walks an agent again and again until the function that it returns is called.
+func walker(ctx context.Context, at netip.AddrPort, r *Result) (end func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g := &gosnmp.GoSNMP{Target: at.Addr().String(), Port: at.Port(), Version: gosnmp.Version2c, Community: "measure",
+			Timeout: time.Second, Retries: 1, MaxOids: gosnmp.MaxOids, MaxRepetitions: 25, Context: ctx}
+		if g.Connect() != nil {
+			return
+		}
+		defer g.Close()
+		for ctx.Err() == nil {
+			if g.BulkWalk("1.3", func(gosnmp.SnmpPDU) error { r.Rows++; return nil }) == nil {
+				r.Walks++
+			}
+		}
+	}()
+	return func() { cancel(); <-done }
+}
+
 func quantile(l *standin.Load, q float64) time.Duration {
 	return time.Duration(l.SetUp.ValueAtQuantile(q)) * time.Microsecond
 }
@@ -233,6 +273,9 @@
 	fmt.Fprintf(t, "set-up through the node, median and 99th percentile\t%.2f ms, %.2f ms\n", ms(r.Median), ms(r.P99))
 	fmt.Fprintf(t, "set-up without it\t%.2f ms, %.2f ms\n", ms(r.DirectMedian), ms(r.DirectP99))
 	fmt.Fprintf(t, "added by the node\t%.2f ms, %.2f ms\n", ms(r.Median-r.DirectMedian), ms(r.P99-r.DirectP99))
+	if r.Walks > 0 {
+		fmt.Fprintf(t, "walks of the MIB, rows in all\t%d, %d\n", r.Walks, r.Rows)
+	}
 	fmt.Fprintf(t, "memory of the node at most\t%.1f MB\n", float64(r.Resident)/1e6)
 	return t.Flush()
 }
--- a/internal/snmp/agent/agent.go
+++ b/internal/snmp/agent/agent.go
@@ -60,7 +60,7 @@
 	Descr, Contact string
 	Name, Location string
 	MaxSize        int     // bytes of an answer; 0: 1,400
-	PerSecond      float64 // requests answered; 0: 200
+	PerSecond      float64 // requests answered; 0: 100
 	Busy           uint64  // per cent of its time that the node works, from which a tenth of that is answered; 0: 70
 	Salt           uint64  // first privacy salt, random
 }
@@ -93,7 +93,7 @@
 	}
 	cfg.MaxSize = max(484, cfg.MaxSize) // RFC 3417, section 3.2
 	if cfg.PerSecond <= 0 {
-		cfg.PerSecond = 200
+		cfg.PerSecond = 100
 	}
 	if cfg.Busy == 0 {
 		cfg.Busy = 70
