--- a/cmd/larkrouter/main.go
+++ b/cmd/larkrouter/main.go
@@ -15,6 +15,7 @@
 	Demo    demoCmd    `cmd:"" help:"Play a scripted bad day on loopback around a real node, and check the five rules."`
 	Measure measureCmd `cmd:"" help:"Measure a node in a process of its own: calls a second, CPU a call, time added, memory."`
 	SNMP    snmpCmd    `cmd:"" name:"snmp" help:"Ask an SNMP agent; print the MIB."`
+	Store   storeCmd   `cmd:"" help:"Look at, check, compact, back up and restore a store."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -42,6 +42,7 @@
 	Limits  Limits        `toml:"limits"`
 	Passing Passing       `toml:"pass"`
 	SNMP    SNMP          `toml:"snmp"`
+	Store   Store         `toml:"store"`
 }
 
 // Node names this node.
@@ -104,6 +105,13 @@
 	Calls  bool   `toml:"calls"`
 }
 
+// Store is where the node keeps what is to survive a restart; without a folder nothing does.
+type Store struct {
+	Dir     string `toml:"dir"`
+	Quota   int64  `toml:"quota" validate:"gte=0"`       // bytes
+	Segment int64  `toml:"segment" validate:"gte=65536"` // bytes
+}
+
 // Class is a class of call: how its INVITE is recognised, and what it is worth.
 type Class struct {
 	Name      string   `toml:"name" validate:"required"`
@@ -158,6 +166,7 @@
 		Timers:  Timers{T1: ms(500), T2: ms(4000), T4: ms(5000)},
 		Limits:  Limits{Line: 4096, Fields: 128, Body: 65535, Connections: 4096, Connect: ms(2000), Idle: ms(600000)},
 		SNMP:    snmpDefaults(),
+		Store:   Store{Quota: 1 << 30, Segment: 16 << 20},
 		Passing: Passing{Methods: node.DefaultPass, Options: node.DefaultOptions},
 	}
 }
--- a/internal/config/snmp.go
+++ b/internal/config/snmp.go
@@ -91,8 +91,8 @@
 	if s.Listen == "" {
 		return
 	}
-	if s.State == "" && len(s.User) > 0 {
-		bad("snmp.state", "is needed with users: engine id and boots have to outlive a restart")
+	if s.State == "" && f.Store.Dir == "" && len(s.User) > 0 {
+		bad("snmp.state", "or store.dir is needed with users: engine id and boots have to outlive a restart")
 	}
 	loopback := addr(s.Listen).Addr().IsLoopback()
 	views := map[string]bool{"": true}
--- /dev/null
+++ b/internal/daemon/keep.go
@@ -0,0 +1,220 @@
+package daemon
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"larkrouter/internal/config"
+	"larkrouter/internal/node"
+	"larkrouter/internal/pool"
+	"larkrouter/internal/store"
+	"larkrouter/internal/store/vfs"
+)
+
+// Collections in the node's store.
+const (
+	collNode  = "node"  // run: number of this life; list: the pool list; engine: SNMP engine id and boots
+	collCalls = "calls" // the journal: a call's last state, by run and number
+)
+
+// endedTTL is how long a call that is over stays in the journal.
+const endedTTL = 10 * time.Minute
+
+// keeper is what a node keeps over a restart. The call path only fills a batch in memory; the store's own goroutine
+// writes it. When the store fails, calls go on without it, and the log says so.
+type keeper struct {
+	store   *store.Store
+	run     uint32
+	batch   store.WriteBatch
+	list    func() []pool.Known // asked in the node's loop
+	log     *slog.Logger
+	told    time.Time
+	missed  int
+	written int
+}
+
+// keptList is the pool list with the time of its writing, by which its servers' ages go on.
+type keptList struct {
+	At      int64         `json:"at_ms"`
+	Version uint64        `json:"version"`
+	Servers []pool.Server `json:"servers"`
+}
+
+// openKeeper opens the store. A folder in use is an error; any other fault leaves the node without a store.
+func openKeeper(f config.Store, log *slog.Logger) (*keeper, error) {
+	if f.Dir == "" {
+		return nil, nil
+	}
+	fs, err := vfs.OS(f.Dir)
+	var s *store.Store
+	var rec store.Recovery
+	if err == nil {
+		s, rec, err = store.Open(fs, store.Options{Quota: f.Quota, SegmentSize: f.Segment})
+	}
+	switch {
+	case errors.Is(err, vfs.ErrLocked):
+		return nil, fmt.Errorf("store %s: %w: one node a folder is right", f.Dir, err)
+	case err != nil:
+		log.Error("no store: calls go on, nothing is kept over a restart", "dir", f.Dir, "cause", err.Error())
+		return nil, nil
+	}
+	for _, d := range rec.Damage {
+		log.Warn("store damaged", "what", d.String())
+	}
+	k := &keeper{store: s, log: log}
+	ctx := context.Background()
+	if b, err := s.Get(ctx, collNode, "run"); err == nil && len(b) == 4 {
+		k.run = binary.BigEndian.Uint32(b)
+	}
+	k.run++
+	var b store.WriteBatch
+	b.Put(collNode, "run", binary.BigEndian.AppendUint32(nil, k.run))
+	if _, err := s.Write(ctx, &b, store.Sync); err != nil {
+		s.Close()
+		log.Error("no store: calls go on, nothing is kept over a restart", "dir", f.Dir, "cause", err.Error())
+		return nil, nil
+	}
+	return k, nil
+}
+
+// earlier is what an earlier life left: the list, aged by the time away, and the legs of calls that stood. The calls
+// that were cut are written to the log and marked so.
+func (k *keeper) earlier() (list []pool.Server, legs []node.StoredLeg) {
+	ctx := context.Background()
+	if b, err := k.store.Get(ctx, collNode, "list"); err == nil {
+		var kept keptList
+		if err := json.Unmarshal(b, &kept); err != nil {
+			k.log.Warn("the kept pool list can't be read", "cause", err.Error())
+		}
+		away := max(0, time.Now().UnixMilli()-kept.At)
+		for _, s := range kept.Servers {
+			if s.AgeMs > 0 {
+				s.AgeMs += away
+			}
+			list = append(list, s)
+		}
+	}
+	snap, err := k.store.Snapshot()
+	if err != nil {
+		return list, nil
+	}
+	defer snap.Close()
+	var b store.WriteBatch
+	cut, stood := 0, 0
+	mark := func() {
+		if _, err := k.store.Write(ctx, &b, store.Batch); err != nil {
+			k.log.Error("calls cut by the kill could not be marked", "cause", err.Error())
+		}
+		b = store.WriteBatch{}
+	}
+	err = snap.Range(ctx, collCalls, "", "", func(key string, value []byte) error {
+		var j node.Journal
+		if err := json.Unmarshal(value, &j); err != nil {
+			return fmt.Errorf("journal entry %x: %w", key, err)
+		}
+		if j.State == node.Ended {
+			return nil
+		}
+		cut++
+		k.log.Warn("call cut by the kill", "call", j.Call, "session", j.Session, "class", j.Class, "server", j.Server,
+			"attempt", j.Attempt, "state", string(j.State))
+		if j.State == node.Stands && j.Leg != nil {
+			stood++
+			legs = append(legs, *j.Leg)
+		}
+		j.State, j.Outcome, j.Leg = node.Ended, "cut by the kill", nil
+		if v, err := json.Marshal(j); err == nil {
+			b.PutTTL(collCalls, key, v, endedTTL)
+		}
+		if b.Len() >= 512 {
+			mark()
+		}
+		return nil
+	})
+	if b.Len() > 0 {
+		mark()
+	}
+	if err != nil {
+		k.log.Error("the journal could not be read to its end", "cause", err.Error())
+	}
+	if cut > 0 {
+		k.log.Warn("calls were cut by the kill", "calls", cut, "standing", stood)
+	}
+	return list, legs
+}
+
+// note takes what the node says in its turn.
+func (k *keeper) note(n any) {
+	switch n := n.(type) {
+	case *node.Journal:
+		v, err := json.Marshal(n)
+		if err != nil {
+			return
+		}
+		key := string(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint32(nil, k.run), n.Call))
+		if n.State == node.Ended {
+			k.batch.PutTTL(collCalls, key, v, endedTTL)
+		} else {
+			k.batch.Put(collCalls, key, v)
+		}
+	case *pool.News:
+		kept := keptList{At: time.Now().UnixMilli(), Version: n.Version}
+		for _, s := range k.list() {
+			kept.Servers = append(kept.Servers, s.Server)
+		}
+		if v, err := json.Marshal(kept); err == nil {
+			k.batch.Put(collNode, "list", v)
+		}
+	}
+}
+
+// turn hands the batch of a turn to the store and waits for nothing.
+func (k *keeper) turn() {
+	if k.batch.Len() == 0 {
+		return
+	}
+	b := k.batch
+	k.batch = store.WriteBatch{}
+	_, err := k.store.Write(context.Background(), &b, store.Lazy)
+	if err == nil {
+		err = k.store.Failed()
+	}
+	if err == nil {
+		k.written += b.Len()
+		return
+	}
+	if k.missed += b.Len(); time.Since(k.told) > 5*time.Second {
+		k.told = time.Now()
+		k.log.Error("journal not written: calls go on, a kill now would lose them", "entries", k.missed, "cause", err.Error())
+	}
+}
+
+func (k *keeper) close() {
+	if err := k.store.Close(); err != nil {
+		k.log.Error("closing the store", "cause", err.Error())
+	}
+}
+
+// engine keeps the SNMP engine's id and boots where no state file is named.
+func (k *keeper) engine() (id []byte, boots int32, err error) {
+	ctx := context.Background()
+	b, err := k.store.Get(ctx, collNode, "engine")
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return nil, 0, fmt.Errorf("snmp engine: %w", err)
+	}
+	id, boots, b, err = nextEngine("the store", b)
+	if err != nil {
+		return nil, 0, err
+	}
+	var w store.WriteBatch
+	w.Put(collNode, "engine", b)
+	if _, err := k.store.Write(ctx, &w, store.Sync); err != nil {
+		return nil, 0, fmt.Errorf("snmp engine: %w", err)
+	}
+	return id, boots, nil
+}
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -17,6 +17,7 @@
 	Clock func() time.Duration // monotonic
 	Tap   actor.Tap            // sees messages, if set
 	Note  func(now time.Duration, note any)
+	After func() // after each turn, if set
 
 	stack  *transport.Stack
 	events chan []transport.Event
@@ -157,4 +158,7 @@
 		}
 	})
 	l.stack.Flush()
+	if l.After != nil {
+		l.After()
+	}
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -16,16 +16,36 @@
 // Serve runs a node by its configuration. The first signal stops it without cutting what it has accepted, for as long
 // as calls.stop_wait says; a second one ends it at once. It says whether all calls had ended by themselves.
 func Serve(ctx context.Context, f *config.File, seed uint64, log *slog.Logger, signals <-chan os.Signal) (clean bool, err error) {
-	n, err := node.New(f.NodeConfig(seed))
+	keep, err := openKeeper(f.Store, log)
 	if err != nil {
 		return false, err
 	}
+	cfg := f.NodeConfig(seed)
+	var legs []node.StoredLeg
+	if keep != nil {
+		defer keep.close()
+		cfg.Journal = true
+		cfg.Cached, legs = keep.earlier()
+	}
+	n, err := node.New(cfg)
+	if err != nil {
+		return false, err
+	}
+	n.ReleaseStored(legs, 3*time.Second)
 	l, err := NewLoop(f.Transport())
 	if err != nil {
 		return false, err
 	}
 	l.Actor = n
 	l.Note = func(_ time.Duration, note any) { writeNote(log, note) }
+	if keep != nil {
+		keep.list = n.Servers
+		l.Note = func(_ time.Duration, note any) {
+			writeNote(log, note)
+			keep.note(note)
+		}
+		l.After = keep.turn
+	}
 	ctx, stop := context.WithCancel(ctx)
 	ended := make(chan struct{})
 	go func() {
@@ -40,7 +60,7 @@
 		go watch(ctx, l, n, f.Pool, log)
 	}
 	if f.SNMP.Listen != "" {
-		s, err := ListenSNMP(f, l, n, log)
+		s, err := ListenSNMP(f, l, n, keep, log)
 		if err != nil {
 			return false, err
 		}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -75,6 +75,7 @@
 	t := &attempt{call: k, n: num, server: a.Server, lines: s.Lines, sent: n.now}
 	k.try = t
 	n.Stats.server(a.Server).Attempts++
+	n.journal(k, Attempted, "")
 	m := n.outgoing(k, s.Peer)
 	t.tx = n.start(m, s.Peer, t)
 	if a.Timeout > 0 {
@@ -162,6 +163,10 @@
 		if m.Status >= 200 {
 			n.released(who, m)
 		}
+	case *storedBye:
+		if m.Status >= 200 {
+			n.storedReleased(who)
+		}
 	case *subscription:
 		who.response(m)
 	}
@@ -194,6 +199,8 @@
 		who.lost(n, err)
 	case *leg:
 		n.released(who, nil)
+	case *storedBye:
+		n.storedReleased(who)
 	case *subscription:
 		who.lost(err)
 	}
@@ -375,6 +382,7 @@
 	if rep := report(m, a.lines); rep != nil {
 		n.tell(larkrouter.Probed{Server: a.server, OK: true, Report: rep})
 	}
+	n.journal(k, Stands, outcome)
 	k.outcome, k.stoodAfter = outcome, n.now-k.arrived
 	level := Debug // the line at its end tells of a call in aim
 	if outcome == "late" {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -38,6 +38,8 @@
 	RefuseWith  int           // status of a refusal: 503 or 480
 	Pass        []string      // methods inside dialogs that are passed on; others get 405
 	Options     []string      // option tags of Require that are passed on (RFC 3261, section 20.32)
+	Cached      []pool.Server // the list as an earlier life of the node knew it
+	Journal     bool          // notes of each call's state, for whoever keeps them
 	LogCalls    bool          // a record at the end of each call
 }
 
--- a/internal/node/indialog.go
+++ b/internal/node/indialog.go
@@ -214,6 +214,7 @@
 			Attempt: k.tries, Outcome: k.outcome, Status: 200, Cause: how, Wait: k.stoodAfter, Stood: n.now - k.arrived - k.stoodAfter,
 			Cut: bye == nil || outcome != larkrouter.Completed})
 	}
+	n.journal(k, Ended, how)
 	delete(n.calls, k.id)
 	for _, l := range [...]*leg{down, up} {
 		if l.ok != nil {
--- a/internal/node/invite.go
+++ b/internal/node/invite.go
@@ -134,7 +134,7 @@
 		n.reject(t, m, 404)
 		return
 	}
-	if n.drain || n.cfg.MaxCalls > 0 && len(n.calls) >= n.cfg.MaxCalls {
+	if n.drain || n.releasing > 0 || n.cfg.MaxCalls > 0 && len(n.calls) >= n.cfg.MaxCalls {
 		n.Stats.OverLimit++
 		wait := time.Duration((0.25 + 0.75*n.rng.Float64()) * float64(n.cfg.RetryAfter))
 		r := sip.NewResponse(m, 503, "", n.token())
@@ -240,6 +240,7 @@
 		}
 		n.heap.Set(&k.guard, k.deadline-2*tick, func() { n.overdue(k) })
 		k.told = true
+		n.journal(k, Accepted, "")
 		n.tell(larkrouter.Call{ID: k.id, Class: k.class, Key: k.key, Left: left,
 			Destination: n.numbers.Destination(k.number, n.list), Circuits: 1, Via: -1, DialedAgain: k.redial > 0})
 	}
@@ -296,6 +297,9 @@
 		st.Failed++
 	}
 	n.logCall(Info, "call", k, outcome, cause, r.Status)
+	if k.told {
+		n.journal(k, Ended, outcome)
+	}
 	n.keepMerged(k)
 	n.end(k)
 }
--- /dev/null
+++ b/internal/node/journal.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"time"
+
+	"larkrouter"
+	"larkrouter/internal/pool"
+	"larkrouter/internal/sip"
+	"larkrouter/internal/timers"
+)
+
+// Journal is a note of a call's state, for whoever keeps it over a restart. Each replaces the one before.
+type Journal struct {
+	Call    uint64     `json:"call"`
+	State   CallState  `json:"state"`
+	Session string     `json:"session"`
+	Class   string     `json:"class"`
+	Server  uint32     `json:"server,omitempty"`
+	Attempt int        `json:"attempt,omitempty"`
+	Outcome string     `json:"outcome,omitempty"`
+	Leg     *StoredLeg `json:"leg,omitempty"` // of a standing call, towards its server
+}
+
+// CallState is how far a call had come.
+type CallState string
+
+// The states.
+const (
+	Accepted  CallState = "accepted"
+	Attempted CallState = "attempted"
+	Stands    CallState = "stands"
+	Ended     CallState = "ended"
+)
+
+// StoredLeg is what is needed to end a dialog that another life of the node left standing.
+type StoredLeg struct {
+	CallID string   `json:"call_id"`
+	Local  string   `json:"local"`
+	Remote string   `json:"remote"`
+	Target string   `json:"target"`
+	Routes []string `json:"routes,omitempty"`
+	To     string   `json:"to"` // host:port
+	TCP    bool     `json:"tcp,omitempty"`
+	Seq    uint32   `json:"seq"`
+}
+
+// journal notes a call's state, if anybody keeps it.
+func (n *Node) journal(k *call, state CallState, outcome string) {
+	if !n.cfg.Journal {
+		return
+	}
+	j := &Journal{Call: k.id, State: state, Session: k.session, Class: n.className(k), Server: k.server, Attempt: k.tries, Outcome: outcome}
+	if state == Attempted && k.try != nil {
+		j.Server = k.try.server
+	}
+	if state == Stands {
+		d := k.down
+		j.Leg = &StoredLeg{CallID: d.callID, Local: d.local, Remote: d.remote, Target: d.target, Routes: d.routes,
+			To: d.to.Addr.String(), TCP: d.to.Transport == sip.TCP, Seq: d.localSeq}
+	}
+	n.out = append(n.out, effectNote(j))
+}
+
+// Pace of the releases after a kill: a server has the work of each.
+const (
+	releaseLot   = 20
+	releaseEvery = 20 * time.Millisecond
+)
+
+// ReleaseStored ends the dialogs that an earlier life left standing: a BYE each, in lots. Until all are answered, and
+// for no longer than wait, new calls get 503: what stood comes first. It is called before Start.
+func (n *Node) ReleaseStored(legs []StoredLeg, wait time.Duration) {
+	n.stored, n.storedWait = legs, wait
+}
+
+func (n *Node) beginRelease() {
+	if len(n.stored) == 0 {
+		return
+	}
+	n.releasing = len(n.stored)
+	n.heap.Set(&n.releaseEnd, n.now+n.storedWait, func() { n.releasing = 0 })
+	n.releaseSome()
+}
+
+func (n *Node) releaseSome() {
+	for range min(releaseLot, len(n.stored)) {
+		s := n.stored[0]
+		n.stored = n.stored[1:]
+		to, ok := s.peer()
+		if !ok {
+			n.releasing--
+			continue
+		}
+		m := sip.NewRequest(sip.BYE, s.Target, s.Local, s.Remote, s.CallID, s.Seq+1, 70)
+		for _, r := range s.Routes {
+			m.Add("Route", r)
+		}
+		m.Add("Reason", `SIP;cause=500;text="node restarted"`)
+		n.start(m, to, &storedBye{})
+		n.Stats.Released++
+	}
+	if len(n.stored) > 0 {
+		n.heap.Set(&n.releaseNext, n.now+releaseEvery, n.releaseSome)
+	}
+}
+
+func (s StoredLeg) peer() (sip.Peer, bool) {
+	u, err := sip.ParseURI("sip:" + s.To)
+	if err != nil {
+		return sip.Peer{}, false
+	}
+	p, ok := u.Peer()
+	if s.TCP {
+		p.Transport = sip.TCP
+	}
+	return p, ok
+}
+
+// storedBye is a BYE of ReleaseStored, as a transaction's user.
+type storedBye struct{ done bool }
+
+func (n *Node) storedReleased(b *storedBye) {
+	if !b.done {
+		b.done = true
+		n.releasing--
+	}
+}
+
+// cached hands the module the list as an earlier life knew it.
+func (n *Node) cached() {
+	l := pool.NewList()
+	news, err := l.Apply(n.now, pool.Document{Version: 1, State: "full", Servers: n.cfg.Cached})
+	if err != nil {
+		n.log(Record{Level: Warn, Event: "list", Cause: "the list from before the restart can't be used: " + err.Error()})
+		n.tell(larkrouter.ServerList{Kind: larkrouter.ListCached})
+		return
+	}
+	n.list = l
+	n.list.Resync()
+	news.Kind = larkrouter.ListCached
+	n.listNews(news)
+}
+
+type releaseState struct {
+	stored                  []StoredLeg
+	storedWait              time.Duration
+	releasing               int // BYEs of an earlier life's calls that are not answered
+	releaseEnd, releaseNext timers.Timer
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,8 +44,9 @@
 	views     []larkrouter.ServerView
 	watched   map[uint32]*watched
 	listState ListState
-	handing   []larkrouter.Event // told while the module is being asked
-	asking    bool
+	releaseState
+	handing []larkrouter.Event // told while the module is being asked
+	asking  bool
 }
 
 // New makes a node with the project's module.
@@ -80,9 +81,12 @@
 	n.clock(now)
 	if len(n.cfg.Servers) > 0 {
 		n.List(now, pool.Document{Version: 1, State: "full", Servers: n.cfg.Servers})
+	} else if len(n.cfg.Cached) > 0 {
+		n.cached()
 	} else {
 		n.tell(larkrouter.ServerList{Kind: larkrouter.ListCached})
 	}
+	n.beginRelease()
 }
 
 func (n *Node) clock(now time.Duration) {
@@ -163,6 +167,8 @@
 	n.out = n.out[:0]
 }
 
+func effectNote(note any) actor.Effect { return actor.Effect{Note: note} }
+
 // Open counts calls that are not answered yet and those that stand.
 func (n *Node) Open() (waiting, standing int) {
 	for _, k := range n.calls {
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -31,6 +31,7 @@
 	LateAnswers                   uint64 // 2xx that came after their attempt was given up
 	Asserts                       uint64 // guards of the core that had to act
 	Sent                          uint64
+	Released                      uint64 // BYEs for calls that an earlier life left standing
 	ListNews, ListGaps, ListFails uint64
 }
 
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	iofs "io/fs"
 	"slices"
 	"strconv"
 	"strings"
@@ -153,6 +154,10 @@
 		}
 	}
 	rec, err := s.load()
+	for try := 0; opt.ReadOnly && errors.Is(err, iofs.ErrNotExist) && try < 5; try++ { // compacted away under our hands
+		s.trees, s.segs = map[string]*btree.Map[string, loc]{}, nil
+		rec, err = s.load()
+	}
 	s.given, s.durable = s.nextSeq, s.nextSeq
 	if err != nil {
 		for _, g := range s.segs {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -46,6 +46,7 @@
 	ErrDamaged   = errors.New("the record is damaged on the disk")
 	ErrCompacted = errors.New("changes so old have been compacted away")
 	ErrReadOnly  = errors.New("the store is open for reading only")
+	ErrBusy      = errors.New("too much waits to be written: the disk does not keep up")
 	ErrTooLarge  = errors.New("the batch is too large")
 )
 
@@ -67,6 +68,7 @@
 
 	qmu    sync.Mutex
 	queue  []*request
+	waits  int // bytes in it
 	wake   chan struct{}
 	failed error
 	closed bool
@@ -121,12 +123,16 @@
 type request struct {
 	ops  []op
 	dur  Durability
+	n    int // bytes
 	seq  uint64
 	err  error
 	done chan struct{}
 	seal bool // close the active segment, for a compaction, whose segment's number comes back in seq
 }
 
+// maxWaiting bounds what lazy writes may pile up in memory, bytes: past it they get ErrBusy, and nobody waits.
+const maxWaiting = 8 << 20
+
 // WriteBatch is a set of changes that happen together.
 type WriteBatch struct {
 	ops []op
@@ -205,6 +211,13 @@
 	case s.failed != nil:
 		return fmt.Errorf("%w: %w", ErrFailed, s.failed)
 	}
+	for _, o := range r.ops {
+		r.n += len(o.coll) + len(o.key) + len(o.value) + 32
+	}
+	if r.dur == Lazy && s.waits > maxWaiting {
+		return ErrBusy
+	}
+	s.waits += r.n
 	s.queue = append(s.queue, r)
 	select {
 	case s.wake <- struct{}{}:
@@ -226,7 +239,7 @@
 	for range s.wake {
 		s.qmu.Lock()
 		list := s.queue
-		s.queue = nil
+		s.queue, s.waits = nil, 0
 		closed, failed := s.closed, s.failed
 		s.qmu.Unlock()
 		if failed == nil {
