--- a/internal/store/compact.go
+++ b/internal/store/compact.go
@@ -10,6 +10,7 @@
 // Sizes of the steps in which a compaction works beside writers.
 const (
 	compactWrite = 256 << 10 // bytes a write
+	compactSync  = 1 << 20   // bytes between syncs: one large one would keep the disk from the writers'
 	compactMove  = 256       // records of the index moved under one lock: some tens of microseconds
 )
 
@@ -53,7 +54,7 @@
 		return nil
 	}
 	out := &segment{id: id, base: top, name: segName(id), last: last}
-	list, err := s.rewrite(ctx, snap, out, old)
+	list, gone, err := s.rewrite(ctx, snap, out, old)
 	if err != nil {
 		if out.file != nil {
 			out.file.Close()
@@ -83,22 +84,20 @@
 		s.mu.Unlock()
 		list = list[n:]
 	}
-	s.mu.Lock()
-	for name, t := range s.trees { // what has run out was not rewritten
-		var dead []string
-		t.Scan(func(key string, l loc) bool {
-			if l.seg.id <= top && l.seg.sealed && l.seg != out {
-				dead = append(dead, key)
+	for len(gone) > 0 { // what has run out was not rewritten
+		n := min(len(gone), compactMove)
+		s.mu.Lock()
+		for _, m := range gone[:n] {
+			if t := s.trees[m.coll]; t != nil {
+				if now, ok := t.Get(m.key); ok && now.seq == m.from.seq {
+					t.Delete(m.key)
+				}
 			}
-			return true
-		})
-		for _, key := range dead {
-			t.Delete(key)
-		}
-		if t.Len() == 0 {
-			delete(s.trees, name)
 		}
+		s.mu.Unlock()
+		gone = gone[n:]
 	}
+	s.mu.Lock()
 	kept := s.segs[:0:0]
 	for _, g := range s.segs {
 		if g == out || g.id > top || !g.sealed {
@@ -134,29 +133,36 @@
 }
 
 // rewrite writes the records of the old segments into a new one, sealed and synced.
-func (s *Store) rewrite(ctx context.Context, snap *Snapshot, out *segment, old []*segment) ([]moved, error) {
+func (s *Store) rewrite(ctx context.Context, snap *Snapshot, out *segment, old []*segment) (list, gone []moved, err error) {
 	isOld := map[*segment]bool{}
 	for _, g := range old {
 		isOld[g] = true
 	}
 	f, err := s.fs.Create(out.name)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	out.file = f
 	buf := appendHeader(nil, out.id, out.base, s.now())
-	size := int64(0)
+	size, unsynced := int64(0), 0
 	flush := func() error {
 		n, err := f.Write(buf)
 		size += int64(n)
 		buf = buf[:0]
+		if unsynced += n; err == nil && unsynced >= compactSync {
+			unsynced = 0
+			err = f.Sync()
+		}
 		return err
 	}
-	var list []moved
 	var fail error
 	for coll, t := range snap.trees {
 		t.Scan(func(key string, l loc) bool {
-			if !isOld[l.seg] || l.expires != 0 && snap.now >= l.expires {
+			if !isOld[l.seg] {
+				return true
+			}
+			if l.expires != 0 && snap.now >= l.expires {
+				gone = append(gone, moved{coll, key, l, loc{}})
 				return true
 			}
 			if fail = ctx.Err(); fail != nil {
@@ -185,19 +191,19 @@
 			return fail == nil
 		})
 		if fail != nil {
-			return nil, fail
+			return nil, nil, fail
 		}
 	}
 	foot := appendFooter(nil, out.id, size+int64(len(buf)), footer{out.frames, out.last, out.base, s.now()})
 	buf = append(buf, foot...)
 	if err := flush(); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if err := f.Sync(); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if err := s.fs.SyncDir(); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	out.size, out.sealed = size, true
 	ops := make([]loadedOp, len(list))
@@ -207,7 +213,7 @@
 		}
 	}
 	s.writeHint(out, ops, foot)
-	return list, nil
+	return list, gone, nil
 }
 
 // Verify reads every file from end to end and tells what does not check; it needs no lock.
