--- a/internal/daemon/keep.go
+++ b/internal/daemon/keep.go
@@ -9,6 +9,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"larkrouter/internal/config"
 	"larkrouter/internal/node"
 	"larkrouter/internal/pool"
@@ -25,12 +27,16 @@
 // endedTTL is how long a call that is over stays in the journal.
 const endedTTL = 10 * time.Minute
 
+// journalEvery is how much of the journal a kill may cost; a machine that goes down, five times as much.
+const journalEvery = 50 * time.Millisecond
+
 // keeper is what a node keeps over a restart. The call path only fills a batch in memory; the store's own goroutine
 // writes it. When the store fails, calls go on without it, and the log says so.
 type keeper struct {
 	store   *store.Store
 	run     uint32
 	batch   store.WriteBatch
+	calls   []*node.Journal     // of this turn: of a call's states only the last is written
 	list    func() []pool.Known // asked in the node's loop
 	log     *slog.Logger
 	told    time.Time
@@ -54,7 +60,7 @@
 	var s *store.Store
 	var rec store.Recovery
 	if err == nil {
-		s, rec, err = store.Open(fs, store.Options{Quota: f.Quota, SegmentSize: f.Segment})
+		s, rec, err = store.Open(fs, store.Options{Quota: f.Quota, SegmentSize: f.Segment, FlushEvery: journalEvery, SyncEvery: 5 * journalEvery})
 	}
 	switch {
 	case errors.Is(err, vfs.ErrLocked):
@@ -114,7 +120,7 @@
 	}
 	err = snap.Range(ctx, collCalls, "", "", func(key string, value []byte) error {
 		var j node.Journal
-		if err := json.Unmarshal(value, &j); err != nil {
+		if err := cbor.Unmarshal(value, &j); err != nil {
 			return fmt.Errorf("journal entry %x: %w", key, err)
 		}
 		if j.State == node.Ended {
@@ -128,7 +134,7 @@
 			legs = append(legs, *j.Leg)
 		}
 		j.State, j.Outcome, j.Leg = node.Ended, "cut by the kill", nil
-		if v, err := json.Marshal(j); err == nil {
+		if v, err := cbor.Marshal(j); err == nil {
 			b.PutTTL(collCalls, key, v, endedTTL)
 		}
 		if b.Len() >= 512 {
@@ -152,16 +158,13 @@
 func (k *keeper) note(n any) {
 	switch n := n.(type) {
 	case *node.Journal:
-		v, err := json.Marshal(n)
-		if err != nil {
-			return
-		}
-		key := string(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint32(nil, k.run), n.Call))
-		if n.State == node.Ended {
-			k.batch.PutTTL(collCalls, key, v, endedTTL)
-		} else {
-			k.batch.Put(collCalls, key, v)
+		for i, j := range k.calls {
+			if j.Call == n.Call {
+				k.calls[i] = n
+				return
+			}
 		}
+		k.calls = append(k.calls, n)
 	case *pool.News:
 		kept := keptList{At: time.Now().UnixMilli(), Version: n.Version}
 		for _, s := range k.list() {
@@ -175,6 +178,20 @@
 
 // turn hands the batch of a turn to the store and waits for nothing.
 func (k *keeper) turn() {
+	for _, j := range k.calls {
+		v, err := cbor.Marshal(j)
+		if err != nil {
+			continue
+		}
+		key := string(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint32(nil, k.run), j.Call))
+		if j.State == node.Ended {
+			k.batch.PutTTL(collCalls, key, v, endedTTL)
+		} else {
+			k.batch.Put(collCalls, key, v)
+		}
+	}
+	clear(k.calls)
+	k.calls = k.calls[:0]
 	if k.batch.Len() == 0 {
 		return
 	}
--- a/internal/demo/stage.go
+++ b/internal/demo/stage.go
@@ -50,6 +50,8 @@
 type Recorder struct {
 	mu  sync.Mutex
 	all []rules.Record
+	// Each, if set, takes the records one by one in place of keeping them.
+	Each func(rules.Record)
 	// Log sees the nodes' notes other than list news, if set.
 	Log func(name string, now time.Duration, note any)
 }
@@ -63,8 +65,12 @@
 
 func (r *Recorder) add(rec rules.Record) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.Each != nil {
+		r.Each(rec)
+		return
+	}
 	r.all = append(r.all, rec)
-	r.mu.Unlock()
 }
 
 func (r *Recorder) tap(p Party) actor.Tap {
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -11,14 +11,14 @@
 
 // Journal is a note of a call's state, for whoever keeps it over a restart. Each replaces the one before.
 type Journal struct {
-	Call    uint64     `json:"call"`
-	State   CallState  `json:"state"`
-	Session string     `json:"session"`
-	Class   string     `json:"class"`
-	Server  uint32     `json:"server,omitempty"`
-	Attempt int        `json:"attempt,omitempty"`
-	Outcome string     `json:"outcome,omitempty"`
-	Leg     *StoredLeg `json:"leg,omitempty"` // of a standing call, towards its server
+	Call    uint64     `cbor:"1,keyasint"`
+	State   CallState  `cbor:"2,keyasint"`
+	Session string     `cbor:"3,keyasint"`
+	Class   string     `cbor:"4,keyasint"`
+	Server  uint32     `cbor:"5,keyasint,omitempty"`
+	Attempt int        `cbor:"6,keyasint,omitempty"`
+	Outcome string     `cbor:"7,keyasint,omitempty"`
+	Leg     *StoredLeg `cbor:"8,keyasint,omitempty"` // of a standing call, towards its server
 }
 
 // CallState is how far a call had come.
@@ -34,14 +34,14 @@
 
 // StoredLeg is what is needed to end a dialog that another life of the node left standing.
 type StoredLeg struct {
-	CallID string   `json:"call_id"`
-	Local  string   `json:"local"`
-	Remote string   `json:"remote"`
-	Target string   `json:"target"`
-	Routes []string `json:"routes,omitempty"`
-	To     string   `json:"to"` // host:port
-	TCP    bool     `json:"tcp,omitempty"`
-	Seq    uint32   `json:"seq"`
+	CallID string   `cbor:"1,keyasint"`
+	Local  string   `cbor:"2,keyasint"`
+	Remote string   `cbor:"3,keyasint"`
+	Target string   `cbor:"4,keyasint"`
+	Routes []string `cbor:"5,keyasint,omitempty"`
+	To     string   `cbor:"6,keyasint"` // host:port
+	TCP    bool     `cbor:"7,keyasint,omitempty"`
+	Seq    uint32   `cbor:"8,keyasint"`
 }
 
 // journal notes a call's state, if anybody keeps it.
--- a/internal/rules/check.go
+++ b/internal/rules/check.go
@@ -56,18 +56,34 @@
 // Line is the verdict's last line.
 func (r Report) Line() string { return fmt.Sprintf("rules kept: %d of 5", r.Kept()) }
 
-// Check reads a capture. Records need not be in order of time.
-func Check(records []Record, f Figures) Report {
-	c := &checker{f: f, calls: map[string]*callSeen{}, attempts: map[string]*attemptSeen{}, sessions: map[string][]*attemptSeen{},
+// Checker reads a capture record by record, in order of time: what it keeps grows with calls and attempts only.
+type Checker struct{ c *checker }
+
+// Add reads a record.
+func (c *Checker) Add(r Record) { c.c.record(&r) }
+
+// End gives the verdicts.
+func (c *Checker) End() Report {
+	c.c.end()
+	return c.c.report
+}
+
+// NewChecker makes one.
+func NewChecker(f Figures) *Checker {
+	return &Checker{&checker{f: f, calls: map[string]*callSeen{}, attempts: map[string]*attemptSeen{}, sessions: map[string][]*attemptSeen{},
 		told: map[string]map[string]*toldServer{}, down: map[string]time.Duration{}, arrivals: map[string][]arrival{},
-		killed: map[string][]time.Duration{}}
+		killed: map[string][]time.Duration{}}}
+}
+
+// Check reads a whole capture. Records need not be in order of time.
+func Check(records []Record, f Figures) Report {
+	c := NewChecker(f)
 	sorted := slices.Clone(records)
 	slices.SortStableFunc(sorted, func(a, b Record) int { return int(a.Time - b.Time) })
 	for i := range sorted {
-		c.record(&sorted[i])
+		c.Add(sorted[i])
 	}
-	c.end()
-	return c.report
+	return c.End()
 }
 
 type checker struct {
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -140,6 +140,9 @@
 	if opt.FlushEvery <= 0 {
 		opt.FlushEvery = 20 * time.Millisecond
 	}
+	if opt.SyncEvery <= 0 {
+		opt.SyncEvery = opt.FlushEvery
+	}
 	if opt.CompactAt <= 0 {
 		opt.CompactAt = 0.5
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -29,7 +29,8 @@
 type Options struct {
 	SegmentSize int64            // bytes after which a segment is sealed; 16 MiB
 	Quota       int64            // bytes that the folder may take; 0: no limit
-	FlushEvery  time.Duration    // 20 ms
+	FlushEvery  time.Duration    // lazy writes go to the operating system so late; 20 ms
+	SyncEvery   time.Duration    // what is with it goes to the disk so late; as FlushEvery
 	CompactAt   float64          // share of dead bytes in sealed segments from which they are compacted; 0.5
 	Now         func() time.Time // for time-to-live; time.Now
 	ReadOnly    bool             // takes no lock and writes nothing: beside the process that has the store
@@ -66,16 +67,18 @@
 	feed    uint64 // changes from this sequence number on are still there
 	clock   int64  // highest time seen, Unix milliseconds: time never goes back
 
-	qmu    sync.Mutex
-	queue  []*request
-	waits  int // bytes in it
-	wake   chan struct{}
-	failed error
-	closed bool
-	done   chan struct{}
-	flush  *time.Timer
-	dirty  bool   // written and not synced; the committer's
-	given  uint64 // the next sequence number; the committer's
+	qmu     sync.Mutex
+	queue   []*request
+	waits   int  // bytes in it
+	lazy    bool // its lazy writes have their time set
+	wake    chan struct{}
+	failed  error
+	closed  bool
+	done    chan struct{}
+	flush   *time.Timer
+	dirty   bool      // written and not synced; the committer's
+	dirtyAt time.Time // since when
+	given   uint64    // the next sequence number; the committer's
 
 	compacting sync.Mutex
 	background sync.WaitGroup
@@ -131,7 +134,10 @@
 }
 
 // maxWaiting bounds what lazy writes may pile up in memory, bytes: past it they get ErrBusy, and nobody waits.
-const maxWaiting = 8 << 20
+const (
+	maxWaiting = 8 << 20
+	lazyLump   = 256 << 10 // and so many are written before their time
+)
 
 // WriteBatch is a set of changes that happen together.
 type WriteBatch struct {
@@ -219,6 +225,18 @@
 	}
 	s.waits += r.n
 	s.queue = append(s.queue, r)
+	if r.dur == Lazy && s.waits < lazyLump { // many lazy writes make one of the disk's
+		if !s.lazy {
+			s.lazy = true
+			time.AfterFunc(s.opt.FlushEvery, func() {
+				select {
+				case s.wake <- struct{}{}:
+				default:
+				}
+			})
+		}
+		return nil
+	}
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -239,7 +257,7 @@
 	for range s.wake {
 		s.qmu.Lock()
 		list := s.queue
-		s.queue, s.waits = nil, 0
+		s.queue, s.waits, s.lazy = nil, 0, false
 		closed, failed := s.closed, s.failed
 		s.qmu.Unlock()
 		if failed == nil {
@@ -283,7 +301,7 @@
 		var buf []byte
 		var done []placed
 		seg := s.active
-		sync := len(list) == 0
+		sync := s.dirty && (len(list) == 0 || time.Since(s.dirtyAt) >= s.opt.SyncEvery)
 		seal, force := false, false
 		for len(list) > 0 {
 			r := list[0]
@@ -326,7 +344,10 @@
 			}
 		}
 		if len(buf) > 0 {
-			s.dirty = true
+			if !s.dirty {
+				s.dirty, s.dirtyAt = true, time.Now()
+				s.flush.Reset(s.opt.SyncEvery)
+			}
 			if _, err := seg.file.Write(buf); err != nil {
 				return fmt.Errorf("writing %s: %w", seg.name, err)
 			}
@@ -338,8 +359,6 @@
 			}
 			s.stats.Syncs.Add(1)
 			s.dirty = false
-		} else if s.dirty {
-			s.flush.Reset(s.opt.FlushEvery)
 		}
 		s.apply(seg, done, int64(len(buf)))
 		if seal && (seg.frames > 0 || force) {
@@ -347,7 +366,7 @@
 				return err
 			}
 		}
-		if len(list) == 0 && !sync {
+		if len(list) == 0 {
 			return nil
 		}
 	}
--- a/internal/virtual/net.go
+++ b/internal/virtual/net.go
@@ -27,9 +27,15 @@
 	order []*host
 	at    map[netip.AddrPort]*host
 	conns map[uint64]*conn
+	open  map[connKey]*conn // by who opened them and to where
 	count uint64
 }
 
+type connKey struct {
+	from *host
+	to   netip.AddrPort
+}
+
 // host is an actor with its addresses.
 type host struct {
 	name   string
@@ -75,7 +81,7 @@
 // New makes a network whose draws come from the seed alone.
 func New(seed uint64) *Net {
 	return &Net{Delay: time.Millisecond, rng: rand.New(rand.NewPCG(seed, 0x6e6574)), hosts: map[string]*host{},
-		at: map[netip.AddrPort]*host{}, conns: map[uint64]*conn{}, now: time.Second}
+		at: map[netip.AddrPort]*host{}, conns: map[uint64]*conn{}, open: map[connKey]*conn{}, now: time.Second}
 }
 
 // Now is the virtual time; it begins at one second.
@@ -115,6 +121,7 @@
 		}
 		c.open = false
 		delete(n.conns, id)
+		delete(n.open, connKey{c.ends[0], c.port[1]})
 		other, end := c.ends[0], 0
 		if other == h {
 			other, end = c.ends[1], 1
@@ -256,10 +263,8 @@
 		}
 		return nil
 	}
-	for id := uint64(1); id <= n.count; id++ {
-		if c := n.conns[id]; c != nil && c.open && c.ends[0] == h && c.port[1] == to.Addr {
-			return c
-		}
+	if c := n.open[connKey{h, to.Addr}]; c != nil && c.open {
+		return c
 	}
 	dst := n.at[to.Addr]
 	if dst == nil {
@@ -269,6 +274,6 @@
 	c := &conn{id: n.count, ends: [2]*host{h, dst}, open: true}
 	c.port[0] = netip.AddrPortFrom(h.addrs[0].Addr(), uint16(20000+n.count%40000))
 	c.port[1] = to.Addr
-	n.conns[c.id] = c
+	n.conns[c.id], n.open[connKey{h, to.Addr}] = c, c
 	return c
 }
