A call read after the node's own stall counts as having waited it

Cause: a call on a connection shows no copies; read after a stall of two seconds it was given its whole try. Change: the time that the earliest timer was overdue bounds what a call may have waited. Result: told 1 s of 3 s after a stall of 2 s; by datagram no more than its missing copies allow.

--- a/internal/node/call_test.go
+++ b/internal/node/call_test.go
@@ -413,6 +413,32 @@
 	}
 }
 
+// After a stall of the node's own a call on a connection may have waited all of it, one by datagram as far as its
+// missing copies allow.
+func TestAgeByOwnStall(t *testing.T) {
+	s := newScript(t, nil)
+	s.run(time.Second)
+	s.now += 2 * time.Second
+	tcp := invite("a")
+	tcp.Set("Via", "SIP/2.0/TCP 127.0.0.1:5070;branch=z9hG4bKtcp")
+	s.in(callerTCP, tcp)
+	var left time.Duration
+	for _, l := range s.told {
+		if _, rest, ok := strings.Cut(l, "call 1 left "); ok {
+			left, _ = time.ParseDuration(strings.Fields(rest)[0])
+		}
+	}
+	if left < 900*time.Millisecond || left > 1100*time.Millisecond {
+		t.Errorf("told %q", s.told)
+	}
+	s.run(time.Second)
+	s.now += 2 * time.Second
+	s.in(callerPeer, invite("b")) // its copy would have come after 500 ms
+	if s.toldOf("call 2 left 2.5s") != 1 {
+		t.Errorf("told %q", s.told)
+	}
+}
+
 func TestRedialIsTold(t *testing.T) {
 	s := newScript(t, nil)
 	m := invite("a")
--- a/internal/node/invite.go
+++ b/internal/node/invite.go
@@ -227,11 +227,9 @@
 		if s, err := strconv.Atoi(k.invite.Get("Expires")); err == nil && s > 0 {
 			left = min(left, time.Duration(s)*time.Second)
 		}
-		if !k.tx.From.Transport.Reliable() && k.tx.Repeats > 0 {
-			waited := n.layer.Times.T1 * time.Duration(int64(1)<<min(k.tx.Repeats, 6)-1)
-			k.arrived -= waited
-			left -= waited
-		}
+		waited := n.waited(k)
+		k.arrived -= waited
+		left -= waited
 		k.deadline = n.now + left
 		tick := max(n.cfg.Settings.Tick, time.Millisecond)
 		if left <= 8*tick { // no time to decide anything: its caller is about to leave
@@ -248,6 +246,18 @@
 	n.fresh = n.fresh[:0]
 }
 
+// waited is how long a call may have waited to be read. Copies of a datagram show it within bounds: as many came as
+// doubled T1s have passed. A connection shows nothing; there it is all the time that the node stood still, lest the
+// call be answered after its caller has gone.
+func (n *Node) waited(k *call) time.Duration {
+	if k.tx.From.Transport.Reliable() {
+		return n.late
+	}
+	t1, r := n.layer.Times.T1, min(k.tx.Repeats, 6)
+	least, most := t1*(1<<r-1), t1*(1<<(r+1)-1)
+	return max(least, min(n.late, most))
+}
+
 // overdue is the core's guard of rule 1: the module answers earlier, and this is an assertion with a remedy.
 func (n *Node) overdue(k *call) {
 	if k.answered {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	list    *pool.List
 	numbers *pool.Numbers
 	now     time.Duration
+	late    time.Duration // how long the node stood still before this turn
 
 	calls     map[uint64]*call
 	legs      map[string]*leg  // by own tag
@@ -90,6 +91,12 @@
 }
 
 func (n *Node) clock(now time.Duration) {
+	if now > n.now { // a new turn: a timer that is overdue shows how long the node has stood still
+		n.late = 0
+		if at, ok := n.heap.Next(); ok {
+			n.late = max(0, now-at)
+		}
+	}
 	n.now = max(now, n.now)
 	n.layer.Clock(n.now)
 }
