--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -80,6 +80,7 @@
 	stood                  bool
 	done                   bool
 	leaving                bool
+	owesCancel             bool
 	patience, hang, redial timers.Timer
 }
 
@@ -202,6 +203,8 @@
 	}
 	if d.tx.Provisional() {
 		c.layer.Start(transaction.CancelFor(d.req), d.peer, nil)
+	} else {
+		d.owesCancel = true
 	}
 	d.tx.Quiet()
 	if d.leaving {
@@ -226,7 +229,14 @@
 // Response implements transaction.User.
 func (c *Callers) Response(t *transaction.Client, m *sip.Message) {
 	d, ok := t.User.(*dialled)
-	if !ok || m.Status < 200 || t != d.tx {
+	if !ok || t != d.tx {
+		return
+	}
+	if m.Status < 200 {
+		if d.owesCancel { // it was given up before any 1xx: the CANCEL had to wait (RFC 3261, section 9.1)
+			d.owesCancel = false
+			c.layer.Start(transaction.CancelFor(d.req), d.peer, nil)
+		}
 		return
 	}
 	if m.Status < 300 {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -179,11 +179,7 @@
 			n++
 		}
 	}
-	span := min(s.cfg.OverloadFor, s.now-s.started)
-	if span < s.cfg.OverloadFor/2 {
-		span = s.cfg.OverloadFor / 2
-	}
-	budget := s.cfg.TipMultiple * s.Speed() * s.slow * s.cfg.Capacity() * span.Seconds()
+	budget := s.cfg.TipMultiple * s.Speed() * s.slow * s.cfg.Capacity() * s.cfg.OverloadFor.Seconds()
 	if float64(n) > budget+4 {
 		s.Over, s.OverAt = true, s.now
 	}
