Demo and fleet share their tables and sums

Need: the same table and the same sums stood twice. Change: demo.Table, ClassCounts.Add, ServerCounts.Add, standin.Served.

--- a/internal/demo/day.go
+++ b/internal/demo/day.go
@@ -259,14 +259,7 @@
 func (d *Day) Counts(i int) standin.ServerCounts {
 	sum := d.Servers[i].Count
 	for _, c := range d.past[i] {
-		sum.SetUps += c.SetUps
-		sum.Stood += c.Stood
-		sum.TurnedAway += c.TurnedAway
-		sum.Cancelled += c.Cancelled
-		sum.Released += c.Released
-		sum.Repeats += c.Repeats
-		sum.Lost += c.Lost
-		sum.Unacked += c.Unacked
+		sum.Add(c)
 	}
 	return sum
 }
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -6,23 +6,56 @@
 	"text/tabwriter"
 
 	"larkrouter/internal/rules"
+	"larkrouter/internal/standin"
 )
 
-// Print writes the day's table: calls by class and outcome, set-ups by server, checks and breaks by rule.
-func (d *Day) Print(w io.Writer, rep rules.Report) error {
-	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
-	row := func(cells ...any) {
-		for _, c := range cells {
-			fmt.Fprint(t, c, "\t")
-		}
-		fmt.Fprintln(t)
+// Table writes a day's tables, one after another.
+type Table struct{ t *tabwriter.Writer }
+
+// NewTable makes one.
+func NewTable(w io.Writer) *Table {
+	return &Table{tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)}
+}
+
+// Row writes a row; a single empty cell makes a gap.
+func (t *Table) Row(cells ...any) {
+	for _, c := range cells {
+		fmt.Fprint(t.t, c, "\t")
+	}
+	fmt.Fprintln(t.t)
+}
+
+// Classes writes the calls by class and outcome.
+func (t *Table) Classes(classes []standin.CallerClass, counts []standin.ClassCounts) {
+	t.Row("class", "offered", "in aim", "late", "refused", "failed", "unanswered", "left", "cut", "redials")
+	for i, c := range counts {
+		t.Row(classes[i].Name, c.Offered, c.InAim, c.Late, c.Refused, c.Failed, c.Unanswered, c.Left, c.Cut, c.Redials)
+	}
+	t.Row("")
+}
+
+// Rules writes checks and breaks by rule, then the first breaks in words.
+func (t *Table) Rules(w io.Writer, rep rules.Report) error {
+	t.Row("rule", "checks", "breaks")
+	for i, v := range rep.Rules {
+		t.Row(fmt.Sprintf("%d %s", i+1, rules.Names[i]), v.Checks, v.Breaks)
+	}
+	if err := t.t.Flush(); err != nil {
+		return err
 	}
-	row("class", "offered", "in aim", "late", "refused", "failed", "unanswered", "left", "cut", "redials")
-	for i, c := range d.Callers.Counts {
-		row(callerClasses[i].Name, c.Offered, c.InAim, c.Late, c.Refused, c.Failed, c.Unanswered, c.Left, c.Cut, c.Redials)
+	for i, v := range rep.Rules {
+		for _, e := range v.Examples {
+			fmt.Fprintf(w, "rule %d broken %s\n", i+1, e)
+		}
 	}
-	row("")
-	row("server", "set-ups", "stood", "turned away", "called off", "lost answers", "starts", "state")
+	return nil
+}
+
+// Print writes the day's table: calls by class and outcome, set-ups by server, checks and breaks by rule.
+func (d *Day) Print(w io.Writer, rep rules.Report) error {
+	t := NewTable(w)
+	t.Classes(callerClasses, d.Callers.Counts)
+	t.Row("server", "set-ups", "stood", "turned away", "called off", "lost answers", "starts", "state")
 	for i, s := range d.Servers {
 		c, state := d.Counts(i), "warm"
 		switch {
@@ -33,21 +66,12 @@
 		case s.Speed() < 0.99:
 			state = fmt.Sprintf("cold, %.0f%%", 100*s.Speed())
 		}
-		row(d.at[i].Name, c.SetUps, c.Stood, c.TurnedAway, c.Cancelled, c.Lost, d.run[i], state)
+		t.Row(d.at[i].Name, c.SetUps, c.Stood, c.TurnedAway, c.Cancelled, c.Lost, d.run[i], state)
 	}
-	row("")
-	row("rule", "checks", "breaks")
-	for i, v := range rep.Rules {
-		row(fmt.Sprintf("%d %s", i+1, rules.Names[i]), v.Checks, v.Breaks)
-	}
-	if err := t.Flush(); err != nil {
+	t.Row("")
+	if err := t.Rules(w, rep); err != nil {
 		return err
 	}
-	for i, v := range rep.Rules {
-		for _, e := range v.Examples {
-			fmt.Fprintf(w, "rule %d broken %s\n", i+1, e)
-		}
-	}
 	_, err := fmt.Fprintf(w, "share served in aim, by worth: %.3f\n%s\n", d.Callers.Served(), rep.Line())
 	return err
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/netip"
-	"text/tabwriter"
 	"time"
 
 	"larkrouter"
@@ -315,58 +314,22 @@
 	sum := make([]standin.ClassCounts, len(classes))
 	for _, c := range f.callers {
 		for i, n := range c.Counts {
-			s := &sum[i]
-			s.Offered += n.Offered
-			s.InAim += n.InAim
-			s.Late += n.Late
-			s.Refused += n.Refused
-			s.Failed += n.Failed
-			s.Unanswered += n.Unanswered
-			s.Left += n.Left
-			s.Cut += n.Cut
-			s.Redials += n.Redials
+			sum[i].Add(n)
 		}
 	}
 	return sum
 }
 
 // Served is the worth that stood in aim and was not cut, over the worth offered.
-func (f *Fleet) Served() float64 {
-	var got, offered float64
-	for i, n := range f.Counts() {
-		c := classes[i]
-		got += c.Worth * (float64(n.InAim) + c.Late*float64(n.Late) - float64(n.Cut))
-		offered += c.Worth * float64(n.Offered-n.Left)
-	}
-	return max(0, got) / max(offered, 1)
-}
+func (f *Fleet) Served() float64 { return standin.Served(classes, f.Counts()) }
 
 // Print writes the day's table.
 func (f *Fleet) Print(w io.Writer, rep rules.Report) error {
-	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
-	row := func(cells ...any) {
-		for _, c := range cells {
-			fmt.Fprint(t, c, "\t")
-		}
-		fmt.Fprintln(t)
-	}
-	row("class", "offered", "in aim", "late", "refused", "failed", "unanswered", "left", "cut", "redials")
-	for i, c := range f.Counts() {
-		row(classes[i].Name, c.Offered, c.InAim, c.Late, c.Refused, c.Failed, c.Unanswered, c.Left, c.Cut, c.Redials)
-	}
-	row("")
-	row("rule", "checks", "breaks")
-	for i, v := range rep.Rules {
-		row(fmt.Sprintf("%d %s", i+1, rules.Names[i]), v.Checks, v.Breaks)
-	}
-	if err := t.Flush(); err != nil {
+	t := demo.NewTable(w)
+	t.Classes(classes, f.Counts())
+	if err := t.Rules(w, rep); err != nil {
 		return err
 	}
-	for i, v := range rep.Rules {
-		for _, e := range v.Examples {
-			fmt.Fprintf(w, "rule %d broken %s\n", i+1, e)
-		}
-	}
 	_, err := fmt.Fprintf(w, "servers pushed over: %d; share served in aim, by worth: %.3f\n%s\n", f.Fallen(), f.Served(), rep.Line())
 	return err
 }
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -341,11 +341,24 @@
 // Unacked implements transaction.User.
 func (c *Callers) Unacked(*transaction.Server, error) {}
 
+// Add sums up.
+func (c *ClassCounts) Add(o ClassCounts) {
+	c.Offered += o.Offered
+	c.InAim += o.InAim
+	c.Late += o.Late
+	c.Refused += o.Refused
+	c.Failed += o.Failed
+	c.Unanswered += o.Unanswered
+	c.Left += o.Left
+	c.Cut += o.Cut
+	c.Redials += o.Redials
+}
+
 // Served is the worth of the calls that stood in time and were not cut, over the worth offered.
-func (c *Callers) Served() float64 {
+func Served(classes []CallerClass, counts []ClassCounts) float64 {
 	var got, all float64
-	for i, n := range c.Counts {
-		cl := c.cfg.Classes[i]
+	for i, n := range counts {
+		cl := classes[i]
 		got += cl.Worth * (float64(n.InAim) + cl.Late*float64(n.Late) - float64(n.Cut))
 		all += cl.Worth * float64(n.Offered-n.Left)
 	}
@@ -354,3 +367,6 @@
 	}
 	return max(0, got) / all
 }
+
+// Served is that of this population.
+func (c *Callers) Served() float64 { return Served(c.cfg.Classes, c.Counts) }
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -37,6 +37,18 @@
 	SetUps, Stood, TurnedAway, Cancelled, Released, Repeats, Lost, Unacked uint64
 }
 
+// Add sums up.
+func (c *ServerCounts) Add(o ServerCounts) {
+	c.SetUps += o.SetUps
+	c.Stood += o.Stood
+	c.TurnedAway += o.TurnedAway
+	c.Cancelled += o.Cancelled
+	c.Released += o.Released
+	c.Repeats += o.Repeats
+	c.Lost += o.Lost
+	c.Unacked += o.Unacked
+}
+
 // CallServer is a call server with one processor that serves in order, set-ups before releases.
 type CallServer struct {
 	base
