--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,6 +27,7 @@
 	Seed           uint64
 	Calm           bool // no troubles
 	Told           int  // the fleet's size as the nodes are told; 0: the truth
+	ListTCP        bool // nodes reach the list server by connection
 	Say            func(at time.Duration, what string)
 }
 
@@ -179,7 +180,7 @@
 	set := larkrouter.Settings{Instances: f.opt.Told, Rank: i % f.opt.Told, Tick: 5 * time.Millisecond, ReleaseGuard: guard, Retransmit: 500 * time.Millisecond,
 		ColdShare: cold, RampTime: ramp, TipMultiple: tip, OverloadFor: overload, MaxAttempts: 4, MayCancel: true, MarksRedials: true,
 		RetryAfter: true, MaxRetryAfter: 2 * time.Second}
-	cfg := node.Config{Seed: f.opt.Seed + 1_000_000 + uint64(i)*1000 + f.lives[i], ListServer: sip.Peer{Addr: f.listAt}, ListExpires: 15 * time.Second,
+	cfg := node.Config{Seed: f.opt.Seed + 1_000_000 + uint64(i)*1000 + f.lives[i], ListServer: sip.Peer{Addr: f.listAt, Transport: f.listBy()}, ListExpires: 15 * time.Second,
 		Addresses: [2]netip.AddrPort{f.nodeAt[i], f.nodeAt[i]}, MaxCalls: 20000}
 	for _, c := range classes {
 		set.Classes = append(set.Classes, larkrouter.Class{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline, Worth: c.Worth, LateShare: c.Late})
@@ -194,6 +195,13 @@
 	return f.stage.Boot(demo.Party{Name: fmt.Sprintf("node-%d", i), Kind: "node", Addr: f.nodeAt[i], Act: n})
 }
 
+func (f *Fleet) listBy() sip.Transport {
+	if f.opt.ListTCP {
+		return sip.TCP
+	}
+	return sip.UDP
+}
+
 func (f *Fleet) nodeName(i int) string { return fmt.Sprintf("node-%d", i) }
 
 // try turns a start that fails, which virtual addresses give no reason for, into a panic with its cause.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -43,6 +43,24 @@
 	}
 }
 
+// The list by connection: lost with its server, asked for anew, there again.
+func TestListByConnection(t *testing.T) {
+	f, rep := play(t, Options{Nodes: 12, Servers: 4, Rate: 60, Length: 60 * time.Second, Seed: 9, ListTCP: true})
+	for i, v := range rep.Rules {
+		if v.Breaks > 0 {
+			t.Errorf("rule %d: %q", i+1, v.Examples)
+		}
+	}
+	for i, n := range f.Nodes {
+		if s := n.Snapshot(f.stage.Now()); s.List != node.ListHeld || len(s.Servers) != 4 || s.Stats.ListNews == 0 {
+			t.Errorf("node %d: list %d of %d servers, %d documents", i, s.List, len(s.Servers), s.Stats.ListNews)
+		}
+	}
+	if f.list.Watchers() < 12 {
+		t.Errorf("%d subscriptions", f.list.Watchers())
+	}
+}
+
 func TestSameSeedSameFleet(t *testing.T) {
 	opt := Options{Nodes: 10, Servers: 3, Rate: 60, Length: 30 * time.Second, Seed: 4}
 	a, ra := play(t, opt)
