--- a/internal/demo/virtual_test.go
+++ b/internal/demo/virtual_test.go
@@ -69,3 +69,30 @@
 		t.Fatalf("two runs of one seed differ: %d and %d bytes", got[0].Len(), got[1].Len())
 	}
 }
+
+// A capture that was written and read again gives the same verdicts.
+func TestCaptureReadAgain(t *testing.T) {
+	rec := &Recorder{}
+	d := playVirtual(t, Options{Seed: 8, Rate: 25, Length: 14 * time.Second}, rec)
+	var file bytes.Buffer
+	if err := rules.Write(&file, rec.Records()); err != nil {
+		t.Fatal(err)
+	}
+	again, err := rules.Read(&file)
+	if err != nil || len(again) != len(rec.Records()) {
+		t.Fatalf("%d records of %d, %v", len(again), len(rec.Records()), err)
+	}
+	f := d.Figures(time.Millisecond, time.Millisecond)
+	a, b := rules.Check(rec.Records(), f), rules.Check(again, f)
+	for i := range a.Rules {
+		if a.Rules[i].Checks != b.Rules[i].Checks || a.Rules[i].Breaks != b.Rules[i].Breaks {
+			t.Errorf("rule %d: %+v, read again %+v", i+1, a.Rules[i], b.Rules[i])
+		}
+	}
+	if a.Rules[0].Checks < 200 {
+		t.Errorf("%d calls checked", a.Rules[0].Checks)
+	}
+	if _, err := rules.Read(bytes.NewBufferString("{\"kind\":\n")); err == nil {
+		t.Error("nonsense was read")
+	}
+}
