--- a/internal/store/bench_test.go
+++ b/internal/store/bench_test.go
@@ -57,26 +57,32 @@
 				return err
 			})
 		})
-		b.Run(fmt.Sprintf("bbolt/%d", n), func(b *testing.B) {
-			db, err := bolt.Open(filepath.Join(b.TempDir(), "db"), 0o600, nil)
-			if err != nil {
-				b.Fatal(err)
-			}
-			defer db.Close()
-			if err := db.Update(func(tx *bolt.Tx) error { _, err := tx.CreateBucket([]byte("c")); return err }); err != nil {
-				b.Fatal(err)
-			}
-			write := db.Update
-			if n > 1 {
-				write = db.Batch // its own way of grouping
-			}
-			writers(b, n, func(i int) error {
-				return write(func(tx *bolt.Tx) error {
-					return tx.Bucket([]byte("c")).Put(fmt.Appendf(nil, "%016d", i), value200)
-				})
+		for _, way := range []string{"Update", "Batch"} { // a transaction each, or its own way of grouping
+			benchBolt(b, n, way)
+		}
+	}
+}
+
+func benchBolt(b *testing.B, n int, way string) {
+	b.Run(fmt.Sprintf("bbolt-%s/%d", way, n), func(b *testing.B) {
+		db, err := bolt.Open(filepath.Join(b.TempDir(), "db"), 0o600, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer db.Close()
+		if err := db.Update(func(tx *bolt.Tx) error { _, err := tx.CreateBucket([]byte("c")); return err }); err != nil {
+			b.Fatal(err)
+		}
+		write := db.Update
+		if way == "Batch" {
+			write = db.Batch
+		}
+		writers(b, n, func(i int) error {
+			return write(func(tx *bolt.Tx) error {
+				return tx.Bucket([]byte("c")).Put(fmt.Appendf(nil, "%016d", i), value200)
 			})
 		})
-	}
+	})
 }
 
 const million = 1_000_000
