A Retry-After without digits no longer brings the node down

Cause: the first word of the field was taken without looking whether there is one; large numbers of seconds in Expires and Subscription-State overflowed into the past.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -308,11 +308,7 @@
 		n.stand(a, m)
 	default:
 		ev := larkrouter.AttemptOver{Outcome: larkrouter.Failed, Report: report(m, a.lines)}
-		wait := time.Duration(0)
-		if v := m.Get("Retry-After"); v != "" {
-			secs, _ := strconv.Atoi(strings.TrimSpace(strings.FieldsFunc(v+" ", func(r rune) bool { return r == ';' || r == '(' || r == ' ' })[0]))
-			wait = time.Duration(secs) * time.Second
-		}
+		wait, _ := sip.Seconds(m.Get("Retry-After"))
 		if m.Status == 503 || m.Status == 500 && wait > 0 || m.Status == 480 && wait > 0 {
 			ev.Outcome, ev.Full, ev.Wait = larkrouter.TurnedAway, true, wait
 		}
--- a/internal/node/invite.go
+++ b/internal/node/invite.go
@@ -224,8 +224,8 @@
 			continue
 		}
 		left := n.cfg.Classes[k.class].Try
-		if s, err := strconv.Atoi(k.invite.Get("Expires")); err == nil && s > 0 {
-			left = min(left, time.Duration(s)*time.Second)
+		if expires, ok := sip.Seconds(k.invite.Get("Expires")); ok && expires > 0 {
+			left = min(left, expires)
 		}
 		waited := n.waited(k)
 		k.arrived -= waited
--- a/internal/node/subscribe.go
+++ b/internal/node/subscribe.go
@@ -104,8 +104,8 @@
 		return
 	}
 	s.learn(m, "To")
-	if secs, err := strconv.Atoi(m.Get("Expires")); err == nil && secs > 0 {
-		s.lasts(time.Duration(secs) * time.Second)
+	if d, ok := sip.Seconds(m.Get("Expires")); ok && d > 0 {
+		s.lasts(d)
 	}
 }
 
@@ -185,8 +185,8 @@
 	if n.listState == ListLost {
 		n.listState = ListHeld
 	}
-	if secs, err := strconv.Atoi(sip.Param(m.Get("Subscription-State"), "expires")); err == nil && secs > 0 {
-		s.lasts(time.Duration(secs) * time.Second)
+	if d, ok := sip.Seconds(sip.Param(m.Get("Subscription-State"), "expires")); ok && d > 0 {
+		s.lasts(d)
 	}
 	if len(m.Body) == 0 {
 		return
--- a/internal/sip/message.go
+++ b/internal/sip/message.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Methods of RFC 3261, 3262, 3311, 6086 and 6665 that the node knows.
@@ -192,6 +193,24 @@
 	return uint32(v), strings.TrimSpace(method), ok && err == nil
 }
 
+// Seconds reads a field of delta-seconds, as Retry-After and Expires are (sections 20.19 and 20.33): digits, behind
+// which a comment or parameters may follow. What is over a day counts as a day; false where there are no digits.
+func Seconds(value string) (time.Duration, bool) {
+	value = strings.TrimSpace(value)
+	n := 0
+	for n < len(value) && value[n] >= '0' && value[n] <= '9' {
+		n++
+	}
+	secs, err := strconv.ParseUint(value[:n], 10, 32)
+	switch {
+	case n == 0:
+		return 0, false
+	case err != nil || secs > 86400:
+		return 24 * time.Hour, true
+	}
+	return time.Duration(secs) * time.Second, true
+}
+
 // ReasonText is the usual reason phrase of a status (section 21).
 func ReasonText(status int) string {
 	if r, ok := reasons[status]; ok {
--- a/internal/sip/message_test.go
+++ b/internal/sip/message_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -134,6 +135,20 @@
 	}
 }
 
+func TestSeconds(t *testing.T) {
+	for in, want := range map[string]time.Duration{"5": 5 * time.Second, " 18000;duration=3600": 5 * time.Hour, "120 (I'm in a meeting)": 2 * time.Minute,
+		"99999999999999999999": 24 * time.Hour, "4294967296": 24 * time.Hour, "0": 0} {
+		if got, ok := Seconds(in); !ok || got != want {
+			t.Errorf("%q: %v %v", in, got, ok)
+		}
+	}
+	for _, in := range []string{"", ";", "()", "-1", "x"} {
+		if got, ok := Seconds(in); ok {
+			t.Errorf("%q was read as %v", in, got)
+		}
+	}
+}
+
 func TestStreamPieces(t *testing.T) {
 	one := crlf(good + "Content-Length: 4\n\nabcd")
 	two := crlf("SIP/2.0 200 OK\nVia: SIP/2.0/TCP h;branch=z9hG4bKa\nFrom: <sip:a@b>;tag=1\nTo: <sip:b@c>;tag=2\nCall-ID: x\nCSeq: 1 INVITE\nl: 0\n\n")
