A CANCEL while it rings no longer brings the node down where calls stand by alerting

Cause: with stands = "alerting" the attempt's end answered the call 500, and the CANCEL's own 487 was then made from an INVITE that had been let go of. Change: who leaves a call gives its answer; a storm of odd messages through the whole node in the tests.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -255,7 +255,7 @@
 	ev.Call, ev.Attempt, ev.Server, ev.Elapsed = k.id, a.n, a.server, n.now-a.sent
 	ev.Ended = k.answered || k.owed
 	n.tell(ev)
-	if k.owed && !k.answered { // it had been alerting, and the module owes it nothing more
+	if k.owed && !k.answered && !k.gone { // it had been alerting, and the module owes it nothing more
 		if !n.passFailure(k) {
 			n.answer(k, n.final(k, 500, ""), "failed", cause)
 		}
--- a/internal/node/call_test.go
+++ b/internal/node/call_test.go
@@ -329,6 +329,28 @@
 	}
 }
 
+// The caller leaves while it rings: one 487, though the module counts the call as set up.
+func TestCancelWhileAlerting(t *testing.T) {
+	s := newScript(t, func(c *Config) { c.Alerting = true })
+	inv := invite("a")
+	s.in(callerPeer, inv)
+	out := s.want(sip.INVITE)
+	s.in(out.To, reply(out.Send, 180))
+	s.in(callerPeer, cancelOf(inv))
+	s.want("487")
+	s.want(sip.CANCEL)
+	s.none("500")
+	if s.n.Stats.Classes[0].GivenUp != 1 || s.n.Stats.Classes[0].Failed != 0 {
+		t.Errorf("%+v", s.n.Stats.Classes[0])
+	}
+	s.in(callerPeer, invite("b"))
+	out = s.want(sip.INVITE)
+	s.in(out.To, reply(out.Send, 180))
+	s.n.Release(s.now) // the same for a node that stops
+	s.take()
+	s.want("503")
+}
+
 // A 2xx that is read after the try's deadline, as when the node stood still: the server is released, the caller gets no
 // 2xx that it does not wait for.
 func TestAnswerReadAfterDeadline(t *testing.T) {
--- /dev/null
+++ b/internal/node/storm_test.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"larkrouter/internal/actor"
+	"larkrouter/internal/sip"
+)
+
+// odd are field values that a peer may send, most of them wrong.
+var odd = []string{"", "0", "1", "-1", "3 (soon)", ";", ";;,", "()", "99999999999999999999", "9223372036854775807", "x", "<", "<sip:127.0.0.1:5081>",
+	"<sip:a@[::1]:1;transport=tcp>", "<sip:nowhere.example.org>", "sip:127.0.0.1", "\"a\\\"<b>\" <sip:127.0.0.1:9;lr>", "1 2 INVITE", "17 1 INVITE"}
+
+// Whatever peers send, in whatever order: no crash, one final answer a call at the most and one in the end, nothing
+// left over once all time-outs have passed.
+func TestStorm(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newScript(t, func(c *Config) { c.Alerting = rapid.Bool().Draw(rt, "alerting") })
+		var out []actor.Effect                 // all that the node has sent
+		finals := map[string]map[string]bool{} // by the transaction's branch
+		note := func() {
+			for _, e := range s.sent {
+				_, method, _ := e.Send.CSeq()
+				if id := e.Send.Branch(); method == sip.INVITE && e.Send.Status >= 200 {
+					if finals[id] == nil {
+						finals[id] = map[string]bool{}
+					}
+					finals[id][fmt.Sprint(e.Send.Status, e.Send.Tag("To"))] = true
+				}
+			}
+			out = append(out, s.sent...)
+			s.sent = nil
+		}
+		spoil := func(m *sip.Message) {
+			for range rapid.IntRange(0, 3).Draw(rt, "odd fields") {
+				name := rapid.SampledFrom([]string{"Retry-After", "Contact", "Record-Route", "Require", "Expires", "RSeq", "RAck", "Reason",
+					"Session-ID", "Max-Forwards", "Subscription-State", sip.LatencyHeader, sip.RedialHeader, "Resource-Priority"}).Draw(rt, "field")
+				m.Set(name, rapid.SampledFrom(odd).Draw(rt, "value"))
+			}
+			if rapid.IntRange(0, 9).Draw(rt, "via") == 0 {
+				m.Set("Via", m.Get("Via")+";oc="+rapid.SampledFrom(odd[:9]).Draw(rt, "oc")+";oc-algo=\"rate\"")
+			}
+		}
+		give := func(from sip.Peer, m *sip.Message) {
+			p, err := sip.Parse(m.Bytes(), sip.Limits{})
+			s.n.Receive(s.now, sip.Packet{Peer: from, Msg: p, Err: err})
+			s.take()
+			note()
+		}
+		calls := 0
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			switch what := rapid.IntRange(0, 7).Draw(rt, "what"); {
+			case what == 0 || len(out) == 0:
+				calls++
+				m := invite(fmt.Sprint("s", calls))
+				spoil(m)
+				from := callerPeer
+				if rapid.Bool().Draw(rt, "tcp") {
+					from = callerTCP
+				}
+				give(from, m)
+			case what <= 3: // an answer to something that the node sent
+				e := out[rapid.IntRange(0, len(out)-1).Draw(rt, "which")]
+				if !e.Send.IsRequest() || e.Send.Method == sip.ACK {
+					continue
+				}
+				m := reply(e.Send, rapid.SampledFrom([]int{100, 180, 183, 200, 302, 408, 480, 481, 486, 500, 503, 603}).Draw(rt, "status"))
+				spoil(m)
+				give(e.To, m)
+			case what == 4: // a request inside a dialog, from either side
+				e := out[rapid.IntRange(0, len(out)-1).Draw(rt, "which")]
+				method := rapid.SampledFrom([]string{sip.ACK, sip.BYE, sip.CANCEL, sip.INFO, sip.UPDATE, sip.PRACK, sip.INVITE, sip.NOTIFY, "REFER"}).Draw(rt, "method")
+				seq := rapid.Uint32Range(0, 5).Draw(rt, "seq")
+				m := sip.NewRequest(method, "sip:127.0.0.1:5060", e.Send.Get("From"), e.Send.Get("To"), e.Send.Get("Call-ID"), seq, 70)
+				if e.Send.IsRequest() {
+					m.Set("From", e.Send.Get("To")+";tag=srv")
+					m.Set("To", e.Send.Get("From"))
+				}
+				m.Push("Via", fmt.Sprintf("SIP/2.0/UDP 127.0.0.1:5070;rport;branch=z9hG4bKst%s%d%d", method, seq, rapid.IntRange(0, 9).Draw(rt, "branch")))
+				spoil(m)
+				give(e.To, m)
+			case what == 5:
+				e := out[rapid.IntRange(0, len(out)-1).Draw(rt, "which")]
+				s.n.Lost(s.now, e.To, rapid.SampledFrom([]error{sip.ErrRefused, sip.ErrLost, &sip.SendError{Branch: e.Send.Branch(), Err: sip.ErrRefused}}).Draw(rt, "error"))
+				s.take()
+				note()
+			case what == 6:
+				s.now += time.Duration(rapid.IntRange(0, 3000).Draw(rt, "stall ms")) * time.Millisecond
+				s.take()
+				note()
+			default:
+				s.run(time.Duration(rapid.IntRange(0, 8000).Draw(rt, "ms")) * time.Millisecond)
+				note()
+			}
+		}
+		s.run(5 * time.Minute) // every transaction ends, and an alerting call with it
+		note()
+		for _, leg := range s.n.legs { // what stands is ended, as its sides would
+			if !leg.over && leg.call.standing {
+				s.n.cut(leg.call, "end of the test", nil)
+			}
+		}
+		s.take()
+		s.run(5 * time.Minute)
+		note()
+		for id, f := range finals {
+			if len(f) > 1 {
+				rt.Fatalf("%s got %v", id, f)
+			}
+		}
+		w, st := s.n.Open()
+		if c, sv := s.n.layer.Open(); w+st+c+sv+len(s.n.merged)+len(s.n.legs) != 0 {
+			rt.Fatalf("left: %d calls wait, %d stand, %d and %d transactions, %d identities, %d legs", w, st, c, sv, len(s.n.merged), len(s.n.legs))
+		}
+	})
+}
