Store: a backup's numbers go on from the original's

Cause: a store made of a backup counted from 1, so that Append in time overwrote what had been appended before; a seal that failed was told as done. Change: the copy begins with the original's next number; the error is given. Result: the test of backups appends to the copy.

--- a/internal/store/compact.go
+++ b/internal/store/compact.go
@@ -262,6 +262,10 @@
 	if err != nil {
 		return err
 	}
+	if snap.Seq > 1 && len(snap.Collections()) > 0 {
+		// The copy's numbers go on from the original's: Append makes keys of them, which must not come again.
+		out.given = snap.Seq
+	}
 	n := 0
 	var b WriteBatch
 	put := func() error {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -272,7 +272,7 @@
 			s.queue = nil
 			s.qmu.Unlock()
 			for _, r := range list {
-				if r.err == nil && r.seq == 0 {
+				if r.err == nil && (r.seq == 0 || r.seal) {
 					r.err = fmt.Errorf("%w: %w", ErrFailed, failed)
 				}
 			}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -547,6 +547,7 @@
 func TestBackupAndVerify(t *testing.T) {
 	disk, states := filled(t)
 	s, _ := open(t, disk, Options{SegmentSize: 300, Manual: true})
+	last := s.Info().NextSeq
 	to := vfs.NewSim()
 	if err := s.Backup(bg, to, nil); err != nil {
 		t.Fatal(err)
@@ -556,6 +557,16 @@
 	}
 	s.Close()
 	c, rec := open(t, to, Options{})
+	var more WriteBatch // numbers go on, so that what is appended takes the place of nothing
+	more.Append("log", []byte("new"))
+	if seq, err := c.Write(bg, &more, Sync); err != nil || seq < last {
+		t.Errorf("appended as %d, the original had come to %d: %v", seq, last, err)
+	}
+	more = WriteBatch{}
+	more.Delete("log", SeqKey(c.Info().NextSeq-1))
+	if _, err := c.Write(bg, &more, Sync); err != nil {
+		t.Fatal(err)
+	}
 	if got, _ := all(t, c); !maps.Equal(got, states[len(states)-1]) || len(rec.Damage) > 0 {
 		t.Errorf("%v %v", got, rec.Damage)
 	}
