Releases after a kill: a BYE newer than all that was sent on the dialog

Change: the BYE's CSeq lies far above; a re-INVITE writes the leg anew. Tests that new calls wait for the releases, for the stated time at most, and that the kept list reaches the module as a cached one.

--- a/internal/node/dialog_test.go
+++ b/internal/node/dialog_test.go
@@ -223,6 +223,64 @@
 	}
 }
 
+// What an earlier life left standing is released before new calls are taken: by a BYE that the server takes for newer
+// than all that was sent on the dialog, and 503 to callers until it is answered.
+func TestReleaseOfEarlierLife(t *testing.T) {
+	first := newScript(t, func(c *Config) { c.Journal = true })
+	inv, up, _, _, server := first.standing("a")
+	for seq := uint32(2); seq < 6; seq++ {
+		first.in(callerPeer, inside(sip.INFO, inv, up, seq))
+		first.in(server, reply(first.want(sip.INFO).Send, 200))
+	}
+	if len(first.journal) == 0 || first.journal[len(first.journal)-1].State != Stands {
+		t.Fatalf("journal %+v", first.journal)
+	}
+	leg := *first.journal[len(first.journal)-1].Leg
+	s := &script{t: t, now: time.Second}
+	n, err := New(testConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.n = n
+	n.ReleaseStored([]StoredLeg{leg}, 3*time.Second)
+	n.Start(s.now)
+	s.take()
+	bye := s.want(sip.BYE)
+	if seq, _, _ := bye.Send.CSeq(); seq <= 5 || bye.To != server || bye.Send.Get("Call-ID") != leg.CallID {
+		t.Errorf("BYE %s to %v", bye.Send.Get("CSeq"), bye.To)
+	}
+	s.in(callerPeer, invite("b"))
+	s.want("503")
+	s.in(server, reply(bye.Send, 200))
+	s.in(callerPeer, invite("c"))
+	s.want(sip.INVITE)
+	// A server that answers nothing holds new calls up for the stated time and no longer.
+	n, _ = New(testConfig())
+	s = &script{t: t, now: time.Second, n: n}
+	n.ReleaseStored([]StoredLeg{leg}, 3*time.Second)
+	n.Start(s.now)
+	s.run(2900 * time.Millisecond)
+	s.in(callerPeer, invite("d"))
+	s.want("503")
+	s.run(200 * time.Millisecond)
+	s.in(callerPeer, invite("e"))
+	s.want(sip.INVITE)
+}
+
+// The list of an earlier life reaches the module as a cached one, before the list server has answered.
+func TestCachedList(t *testing.T) {
+	s := newScript(t, func(c *Config) {
+		c.Cached, c.Servers = c.Servers, nil
+		c.ListServer = sip.Peer{Addr: sipAddr("127.0.0.1:5090")}
+	})
+	if s.toldOf("list kind 2 version 1 servers 2") != 1 {
+		t.Errorf("told %q", s.told)
+	}
+	s.want(sip.SUBSCRIBE)
+	s.in(callerPeer, invite("a"))
+	s.want(sip.INVITE)
+}
+
 // The list by SUBSCRIBE and NOTIFY: whole, partial, gap, refusal, expiry.
 func TestSubscription(t *testing.T) {
 	list := sip.Peer{Addr: sipAddr("127.0.0.1:5090")}
--- a/internal/node/indialog.go
+++ b/internal/node/indialog.go
@@ -131,6 +131,7 @@
 		} else {
 			p.sendAck(n, nil)
 		}
+		n.journal(r.from.call, Stands, r.from.call.outcome) // where its BYE has to go may have changed
 		r.from.offer2xx(n, r.tx, out)
 		return
 	case m.Status < 300 && r.req.Method == sip.UPDATE:
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -61,6 +61,10 @@
 	n.out = append(n.out, effectNote(j))
 }
 
+// seqGap lies over whatever the earlier life sent on the leg since it was noted: a CSeq that is too low is refused, a
+// gap is not (section 12.2.2).
+const seqGap = 10_000
+
 // Pace of the releases after a kill: a server has the work of each.
 const (
 	releaseLot   = 20
@@ -91,7 +95,7 @@
 			n.releasing--
 			continue
 		}
-		m := sip.NewRequest(sip.BYE, s.Target, s.Local, s.Remote, s.CallID, s.Seq+1, 70)
+		m := sip.NewRequest(sip.BYE, s.Target, s.Local, s.Remote, s.CallID, s.Seq+seqGap, 70)
 		for _, r := range s.Routes {
 			m.Add("Route", r)
 		}
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -14,12 +14,13 @@
 
 // script drives a node with messages written by hand and looks at what it sends.
 type script struct {
-	t    *testing.T
-	n    *Node
-	now  time.Duration
-	sent []actor.Effect // not yet looked at
-	logs []*Record
-	told []string // what the module was told, by type and call
+	t       *testing.T
+	n       *Node
+	now     time.Duration
+	sent    []actor.Effect // not yet looked at
+	logs    []*Record
+	journal []*Journal
+	told    []string // what the module was told, by type and call
 }
 
 // spy writes down what the module is told and asks.
@@ -78,8 +79,12 @@
 			}
 			e.Send = m
 			s.sent = append(s.sent, e)
-		} else if r, ok := e.Note.(*Record); ok {
-			s.logs = append(s.logs, r)
+		}
+		switch note := e.Note.(type) {
+		case *Record:
+			s.logs = append(s.logs, note)
+		case *Journal:
+			s.journal = append(s.journal, note)
 		}
 	})
 }
