The pool list forgets servers that have been gone for ten minutes

Cause: machines are replaced under new ids, and every one of them stayed in the list, which each call without a route goes through. Change: forgotten after ten minutes, with their counters; standing calls do not need them. Result: 5,000 replacements leave under 30 entries.

--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -71,6 +71,12 @@
 			w.phase, w.state, w.at = k.Phase, view.State, n.now
 		}
 	}
+	for id := range n.watched {
+		if _, ok := n.list.Get(id); !ok { // gone for good, and with it its counters
+			delete(n.watched, id)
+			delete(n.Stats.Servers, id)
+		}
+	}
 }
 
 // Snapshot copies what operators see. It is part of a turn, and takes time by the number of servers and open calls.
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -46,6 +46,7 @@
 	Peer    sip.Peer
 	Phase   larkrouter.Phase
 	Started time.Duration // node's clock; 0: long ago
+	gone    time.Duration // when it was told gone
 }
 
 // News are what the module is told.
@@ -55,7 +56,11 @@
 	Changed []Known
 }
 
-// List is the list as last told. It keeps servers that are gone, for their standing calls.
+// keepGone is how long a server that is gone stays in the list, should it come back: machines are replaced under new
+// ids for years.
+const keepGone = 10 * time.Minute
+
+// List is the list as last told.
 type List struct {
 	version uint64
 	synced  bool // a full list of this subscription has come
@@ -122,6 +127,16 @@
 		k := changed[i]
 		l.byID[k.ID] = &k
 	}
+	for id, k := range l.byID {
+		switch {
+		case k.Phase != larkrouter.Gone:
+			k.gone = 0
+		case k.gone == 0:
+			k.gone = max(now, 1)
+		case now-k.gone > keepGone:
+			delete(l.byID, id)
+		}
+	}
 	l.version, l.synced = d.Version, true
 	return News{kind, d.Version, changed}, nil
 }
@@ -157,7 +172,7 @@
 		k.Lines = 1000
 	}
 	if old := l.byID[s.ID]; old != nil && old.Run == s.Run {
-		k.Started = old.Started // one start has one time, however often and late it is told
+		k.Started, k.gone = old.Started, old.gone // one start has one time, however often and late it is told
 	} else if s.AgeMs > 0 {
 		k.Started = max(1, now-time.Duration(s.AgeMs)*time.Millisecond)
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -95,6 +95,21 @@
 	}
 }
 
+// Years of replaced machines leave no more in the list than the last ten minutes of them.
+func TestGoneServersAreForgotten(t *testing.T) {
+	l := NewList()
+	for i := range uint32(5000) {
+		at := time.Duration(i) * time.Minute
+		apply(t, l, at, Document{Version: uint64(i + 1), State: "full", Servers: []Server{entry(i%1000+1, ""), entry(i%1000+2000, "")}})
+	}
+	if n := len(l.All()); n > 30 {
+		t.Errorf("%d servers in the list", n)
+	}
+	if _, ok := l.Get(999); !ok {
+		t.Error("one that went a minute ago is forgotten")
+	}
+}
+
 func TestNumbers(t *testing.T) {
 	l := NewList()
 	apply(t, l, 0, Document{Version: 1, State: "full", Servers: []Server{entry(1, ""), entry(2, ""), entry(3, ""), entry(4, "gone")}})
