Node and stand-ins share their identity; Allow from what passes; dead state out

Need: tokens, Via and Contact were written twice, Allow named methods that the configuration keeps out, and a few fields could be derived or were never read. Change: sip.Ident; Allow is made of what passes; relay.ringed, attempt.repeated and others are gone; a request inside a dialog that fell back to a datagram is the one that its CANCEL is for.

--- a/internal/daemon/keep.go
+++ b/internal/daemon/keep.go
@@ -33,15 +33,14 @@
 // keeper is what a node keeps over a restart. The call path only fills a batch in memory; the store's own goroutine
 // writes it. When the store fails, calls go on without it, and the log says so.
 type keeper struct {
-	store   *store.Store
-	run     uint32
-	batch   store.WriteBatch
-	calls   []*node.Journal     // of this turn: of a call's states only the last is written
-	list    func() []pool.Known // asked in the node's loop
-	log     *slog.Logger
-	told    time.Time
-	missed  int
-	written int
+	store  *store.Store
+	run    uint32
+	batch  store.WriteBatch
+	calls  []*node.Journal     // of this turn: of a call's states only the last is written
+	list   func() []pool.Known // asked in the node's loop
+	log    *slog.Logger
+	told   time.Time
+	missed int
 }
 
 // keptList is the pool list with the time of its writing, by which its servers' ages go on.
@@ -202,7 +201,6 @@
 		err = k.store.Failed()
 	}
 	if err == nil {
-		k.written += b.Len()
 		return
 	}
 	if k.missed += b.Len(); time.Since(k.told) > 5*time.Second {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -90,9 +90,9 @@
 	tick := time.NewTicker(50 * time.Millisecond)
 	defer tick.Stop()
 	limit := time.After(wait)
-	for released := false; ; {
+	for {
 		w, s := open()
-		if w+s == 0 && !released {
+		if w+s == 0 {
 			l.Call(n.Release) // ends the subscription
 			time.Sleep(20 * time.Millisecond)
 			log.Info("stopped", "clean", true)
@@ -105,7 +105,6 @@
 		case <-limit:
 			log.Warn("releasing what is left", "unanswered", w, "standing", s)
 			l.Call(n.Release)
-			released = true
 			select { // for the BYEs to be answered
 			case <-time.After(time.Second):
 			case <-signals:
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -20,7 +20,6 @@
 	lines       int
 	sent        time.Duration
 	tx          *transaction.Client
-	repeated    bool // sent again on the other transport
 	provisional bool
 	wantCancel  bool // given up before any 1xx: the CANCEL waits for one (section 9.1)
 	over        bool // its one outcome has been told
@@ -44,7 +43,7 @@
 		r.alt = to
 		to.Transport, to.Conn = sip.TCP, 0
 	}
-	m.Push("Via", n.via(to.Transport))
+	m.Push("Via", n.id.Via(to.Transport))
 	return n.layer.Start(m, to, r)
 }
 
@@ -90,11 +89,9 @@
 	if uri.Scheme == "tel" {
 		uri.Scheme, uri.Params = "sip", ";user=phone"
 	}
-	host, _, _ := strings.Cut(sip.HostPort(to.Addr), "]")
-	if !strings.HasPrefix(host, "[") {
-		host = to.Addr.Addr().String()
-	} else {
-		host += "]"
+	host := to.Addr.Addr().String()
+	if to.Addr.Addr().Is6() {
+		host = "[" + host + "]"
 	}
 	uri.Host, uri.Port = host, int(to.Addr.Port())
 	hops := 70
@@ -102,11 +99,11 @@
 		hops = v
 	}
 	from, _ := sip.ParseAddress(in.Get("From"))
-	from.Params = ";tag=" + n.token()
+	from.Params = ";tag=" + n.id.Token()
 	callee, _ := sip.ParseAddress(in.Get("To"))
 	callee.Params = ""
-	m := sip.NewRequest(sip.INVITE, uri.String(), from.String(), callee.String(), n.token()+n.token(), 1, hops-1)
-	m.Add("Contact", n.contact(to.Transport))
+	m := sip.NewRequest(sip.INVITE, uri.String(), from.String(), callee.String(), n.id.Token()+n.id.Token(), 1, hops-1)
+	m.Add("Contact", n.id.Contact(to.Transport))
 	m.Add("Session-ID", k.session+";remote=00000000000000000000000000000000")
 	copyEnd(m, in)
 	return m
@@ -182,14 +179,17 @@
 	if r.alt.Addr.IsValid() && errors.Is(err, sip.ErrRefused) {
 		// Section 18.1.1: no connection to be had, so the large request goes by datagram after all.
 		m := t.Request.Clone()
-		m.Set("Via", n.via(r.alt.Transport))
+		m.Set("Via", n.id.Via(r.alt.Transport))
 		again := n.layer.Start(m, r.alt, &request{who: r.who})
 		if a, ok := r.who.(*attempt); ok {
-			a.tx, a.repeated = again, true
+			a.tx = again
 			if a.over {
 				again.Quiet()
 			}
 		}
+		if p, ok := r.who.(*relay); ok {
+			p.client = again
+		}
 		return
 	}
 	switch who := r.who.(type) {
@@ -339,7 +339,7 @@
 	r := sip.NewResponse(k.invite, m.Status, m.Reason, tag)
 	copyEnd(r, m)
 	if a.up != nil {
-		r.Add("Contact", n.contact(k.tx.From.Transport))
+		r.Add("Contact", n.id.Contact(k.tx.From.Transport))
 	}
 	k.tx.Respond(r)
 }
@@ -362,7 +362,7 @@
 		outcome = "late"
 	}
 	r := sip.NewResponse(k.invite, m.Status, m.Reason, a.up.localTag)
-	r.Add("Contact", n.contact(k.tx.From.Transport))
+	r.Add("Contact", n.id.Contact(k.tx.From.Transport))
 	r.Add("Session-ID", k.session)
 	copyEnd(r, m)
 	late := len(k.invite.Body) == 0 && len(m.Body) > 0 // the caller's ACK will hold the answer to this offer
--- a/internal/node/dialog.go
+++ b/internal/node/dialog.go
@@ -52,7 +52,7 @@
 			localTag: a.tx.Request.Tag("From"), local: a.tx.Request.Get("From"), localSeq: 1, inviteSeq: 1, to: a.tx.To}
 		seq, _, _ := in.CSeq()
 		// Copies: a field is part of its whole message's text, which a standing call need not hold.
-		a.up = &leg{call: k, try: a, callID: strings.Clone(in.Get("Call-ID")), localTag: n.token(),
+		a.up = &leg{call: k, try: a, callID: strings.Clone(in.Get("Call-ID")), localTag: n.id.Token(),
 			remote: strings.Clone(in.Get("From")), remoteSeq: seq, to: k.tx.From, routes: cloneAll(in.Values("Record-Route"))}
 		a.up.remoteTag = sip.Param(a.up.remote, "tag")
 		a.up.local = in.Get("To") + ";tag=" + a.up.localTag
@@ -123,7 +123,7 @@
 		m.Add("Route", r)
 	}
 	if method == sip.INVITE || method == sip.UPDATE {
-		m.Add("Contact", n.contact(l.to.Transport))
+		m.Add("Contact", n.id.Contact(l.to.Transport))
 	}
 	m.Add("Session-ID", l.call.session)
 	return m
@@ -148,7 +148,7 @@
 	if other != nil {
 		copyEnd(m, other)
 	}
-	m.Push("Via", n.via(l.to.Transport))
+	m.Push("Via", n.id.Via(l.to.Transport))
 	l.ack, l.ackOwed = m, false
 	n.send(l.to, m)
 }
@@ -217,7 +217,7 @@
 		for i := len(routes) - 1; i >= 0; i-- {
 			r.Add("Route", routes[i])
 		}
-		r.Push("Via", n.via(to.Transport))
+		r.Push("Via", n.id.Via(to.Transport))
 		if method == sip.ACK {
 			n.send(to, r)
 		} else {
--- a/internal/node/indialog.go
+++ b/internal/node/indialog.go
@@ -17,7 +17,6 @@
 	req    *sip.Message
 	from   *leg
 	client *transaction.Client
-	ringed bool
 	done   bool
 }
 
@@ -52,11 +51,10 @@
 		n.bye(t, m, l)
 	case m.Method == sip.OPTIONS:
 		r := sip.NewResponse(m, 200, "", "")
-		r.Add("Allow", allow)
+		r.Fields = append(r.Fields, n.allow())
 		t.Respond(r)
 	case !slices.Contains(n.cfg.Pass, m.Method):
-		n.reject(t, m, 405, sip.Field{Name: "Allow", Value: strings.Join(append([]string{sip.ACK, sip.BYE, sip.CANCEL,
-			sip.OPTIONS}, n.cfg.Pass...), ", ")})
+		n.reject(t, m, 405, n.allow())
 	case m.Get("Max-Forwards") == "0":
 		n.reject(t, m, 483)
 	default:
@@ -102,10 +100,8 @@
 	invite := r.req.Method == sip.INVITE
 	switch {
 	case m.Status == 100:
-		r.ringed = true
 		return
 	case m.Status < 200:
-		r.ringed = true
 		out := sip.NewResponse(r.req, m.Status, m.Reason, "")
 		copyEnd(out, m)
 		r.tx.Respond(out)
@@ -125,7 +121,7 @@
 	switch {
 	case m.Status < 300 && invite:
 		p.retarget(m, p.to)
-		out.Add("Contact", n.contact(r.from.to.Transport))
+		out.Add("Contact", n.id.Contact(r.from.to.Transport))
 		if len(r.req.Body) == 0 && len(m.Body) > 0 {
 			p.ackOwed = true
 		} else {
@@ -136,7 +132,7 @@
 		return
 	case m.Status < 300 && r.req.Method == sip.UPDATE:
 		p.retarget(m, p.to)
-		out.Add("Contact", n.contact(r.from.to.Transport))
+		out.Add("Contact", n.id.Contact(r.from.to.Transport))
 	}
 	r.tx.Respond(out)
 	if m.Status == 481 || m.Status == 408 { // section 12.2.1.2: that side has lost the session
@@ -156,7 +152,7 @@
 
 // cancel takes the CANCEL of a passed-on INVITE.
 func (r *relay) cancel(n *Node) {
-	if !r.done && r.ringed && !r.client.Done() {
+	if !r.done && r.client.Provisional() {
 		n.layer.Start(transaction.CancelFor(r.client.Request), r.client.To, nil)
 	}
 }
--- a/internal/node/invite.go
+++ b/internal/node/invite.go
@@ -57,33 +57,36 @@
 	case m.Method == sip.INVITE:
 		n.onInvite(t, m)
 	case m.Method == sip.OPTIONS:
-		r := sip.NewResponse(m, 200, "", n.token())
-		r.Add("Allow", allow)
+		r := sip.NewResponse(m, 200, "", n.id.Token())
+		r.Fields = append(r.Fields, n.allow())
 		r.Add("Accept", "application/sdp")
 		t.Respond(r)
 	default:
-		n.Stats.Rejected++
-		status := 501 // section 8.2.1: a method that is not recognised at all, else 405
-		if slices.Contains([]string{"REGISTER", "SUBSCRIBE", "NOTIFY", "PUBLISH", "MESSAGE", "REFER", "UPDATE", "INFO",
-			"PRACK", "BYE"}, m.Method) {
-			status = 405
+		switch {
+		case slices.Contains([]string{sip.BYE, sip.UPDATE, sip.INFO, sip.PRACK}, m.Method):
+			n.reject(t, m, 481) // they live in dialogs
+		case slices.Contains([]string{"REGISTER", "SUBSCRIBE", "NOTIFY", "PUBLISH", "MESSAGE", "REFER"}, m.Method):
+			n.reject(t, m, 405, n.allow())
+		default:
+			n.reject(t, m, 501) // section 8.2.1: not recognised at all
 		}
-		if m.Method == sip.BYE || m.Method == sip.UPDATE || m.Method == sip.INFO || m.Method == sip.PRACK {
-			status = 481
-		}
-		r := sip.NewResponse(m, status, "", n.token())
-		if status == 405 {
-			r.Add("Allow", allow)
-		}
-		t.Respond(r)
 	}
 }
 
-const allow = "INVITE, ACK, CANCEL, BYE, OPTIONS, UPDATE, INFO, PRACK"
+// allow is what this node takes (section 20.5).
+func (n *Node) allow() sip.Field {
+	all := []string{sip.INVITE, sip.ACK, sip.CANCEL, sip.BYE, sip.OPTIONS}
+	for _, m := range n.cfg.Pass {
+		if !slices.Contains(all, m) {
+			all = append(all, m)
+		}
+	}
+	return sip.Field{Name: "Allow", Value: strings.Join(all, ", ")}
+}
 
 func (n *Node) reject(t *transaction.Server, m *sip.Message, status int, fields ...sip.Field) {
 	n.Stats.Rejected++
-	r := sip.NewResponse(m, status, "", n.token())
+	r := sip.NewResponse(m, status, "", n.id.Token())
 	r.Fields = append(r.Fields, fields...)
 	t.Respond(r)
 }
@@ -136,8 +139,8 @@
 	}
 	if n.drain || n.releasing > 0 || n.cfg.MaxCalls > 0 && len(n.calls) >= n.cfg.MaxCalls {
 		n.Stats.OverLimit++
-		wait := time.Duration((0.25 + 0.75*n.rng.Float64()) * float64(n.cfg.RetryAfter))
-		r := sip.NewResponse(m, 503, "", n.token())
+		wait := time.Duration((0.25 + 0.75*n.id.Rand.Float64()) * float64(n.cfg.RetryAfter))
+		r := sip.NewResponse(m, 503, "", n.id.Token())
 		r.Add("Retry-After", retryAfter(wait))
 		t.Respond(r)
 		return
@@ -146,7 +149,7 @@
 	k := &call{id: n.nextID, class: class, session: strings.Clone(sessionID(m)), tx: t, invite: m, mergeKey: key, number: strings.Clone(number),
 		key: pool.Key(caller.URI.Number(), number), arrived: n.now}
 	if k.session == "" {
-		k.session = n.token() + n.token()
+		k.session = n.id.Token() + n.id.Token()
 	}
 	k.redial, _ = strconv.Atoi(m.Get(sip.RedialHeader))
 	t.User = k
@@ -283,7 +286,7 @@
 
 // final makes a final response for the caller.
 func (n *Node) final(k *call, status int, reason string) *sip.Message {
-	r := sip.NewResponse(k.invite, status, reason, n.token())
+	r := sip.NewResponse(k.invite, status, reason, n.id.Token())
 	r.Add("Session-ID", k.session)
 	return r
 }
@@ -378,7 +381,7 @@
 		n.reject(t, m, 481)
 		return
 	}
-	t.Respond(sip.NewResponse(m, 200, "", n.token()))
+	t.Respond(sip.NewResponse(m, 200, "", n.id.Token()))
 	switch k := s.User.(type) {
 	case *call:
 		if !k.answered && k.tx == s {
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -70,6 +70,6 @@
 		return
 	}
 	sip.Received(e.Partial, p.Peer)
-	m := sip.NewResponse(e.Partial, e.Status, "", n.token()) // stateless, as section 8.2.7 allows
+	m := sip.NewResponse(e.Partial, e.Status, "", n.id.Token()) // stateless, as section 8.2.7 allows
 	n.send(sip.ReplyTo(e.Partial, p.Peer), m)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,7 +23,7 @@
 type Node struct {
 	cfg     Config
 	module  Decider
-	rng     *rand.Rand
+	id      sip.Ident
 	heap    timers.Heap
 	layer   *transaction.Layer
 	list    *pool.List
@@ -67,7 +67,7 @@
 	if err := cfg.fill(); err != nil {
 		return nil, err
 	}
-	n := &Node{cfg: cfg, module: module, rng: rand.New(rand.NewPCG(cfg.Seed, 0x736970)), list: pool.NewList(),
+	n := &Node{cfg: cfg, module: module, id: sip.Ident{Own: cfg.Addresses, Rand: rand.New(rand.NewPCG(cfg.Seed, 0x736970))}, list: pool.NewList(),
 		numbers: pool.NewNumbers(cfg.Routes), calls: map[uint64]*call{}, legs: map[string]*leg{},
 		merged: map[string]*call{}, wakes: map[uint64]*timers.Timer{}, watched: map[uint32]*watched{}}
 	n.layer = transaction.New(cfg.Times, &n.heap, (*user)(n), (*sender)(n))
@@ -262,31 +262,6 @@
 	}
 }
 
-const letters = "0123456789abcdefghijklmnopqrstuv"
-
-func (n *Node) token() string {
-	var b [13]byte
-	x := n.rng.Uint64()
-	for i := range b {
-		b[i] = letters[x&31]
-		x >>= 5
-	}
-	return string(b[:])
-}
-
-func (n *Node) sentBy(t sip.Transport) string { return sip.HostPort(n.cfg.Addresses[t]) }
-
-func (n *Node) via(t sip.Transport) string {
-	return "SIP/2.0/" + t.String() + " " + n.sentBy(t) + ";rport;branch=z9hG4bK" + n.token()
-}
-
-func (n *Node) contact(t sip.Transport) string {
-	if t == sip.TCP {
-		return "<sip:" + n.sentBy(t) + ";transport=tcp>"
-	}
-	return "<sip:" + n.sentBy(t) + ">"
-}
-
 // retryAfter writes a wait in whole seconds, which is all that the field can say (section 20.33).
 func retryAfter(d time.Duration) string {
 	return strconv.Itoa(int(max(1, (d+time.Second-1)/time.Second)))
--- a/internal/node/subscribe.go
+++ b/internal/node/subscribe.go
@@ -65,7 +65,7 @@
 func (s *subscription) begin() {
 	s.drop()
 	s.state = subAsked
-	s.callID, s.tag = s.n.token()+s.n.token(), s.n.token()
+	s.callID, s.tag = s.n.id.Token()+s.n.id.Token(), s.n.id.Token()
 	s.to = s.n.cfg.ListServer
 	s.target = "sip:pool@" + sip.HostPort(s.to.Addr)
 	s.remote, s.seq, s.peerSeq = "<"+s.target+">", 0, 0
@@ -82,12 +82,12 @@
 
 func (s *subscription) ask(expires time.Duration) {
 	s.seq++
-	m := sip.NewRequest(sip.SUBSCRIBE, s.target, "<sip:node@"+s.n.sentBy(s.to.Transport)+">;tag="+s.tag, s.remote,
+	m := sip.NewRequest(sip.SUBSCRIBE, s.target, "<sip:node@"+s.n.id.SentBy(s.to.Transport)+">;tag="+s.tag, s.remote,
 		s.callID, s.seq, 70)
 	m.Add("Event", pool.Event)
 	m.Add("Expires", strconv.Itoa(int(expires/time.Second)))
 	m.Add("Accept", pool.ContentType)
-	m.Add("Contact", s.n.contact(s.to.Transport))
+	m.Add("Contact", s.n.id.Contact(s.to.Transport))
 	var who any
 	if expires > 0 {
 		who = s
--- a/internal/standin/base.go
+++ b/internal/standin/base.go
@@ -16,15 +16,14 @@
 	now   time.Duration
 	heap  timers.Heap
 	layer *transaction.Layer
-	rng   *rand.Rand
-	addr  netip.AddrPort
+	id    sip.Ident
 	out   []actor.Effect
 	// lose, if set, says whether a message is lost before it reaches the socket.
 	lose func(m *sip.Message) bool
 }
 
 func (b *base) init(addr netip.AddrPort, seed uint64, u transaction.User) {
-	b.addr, b.rng = addr, rand.New(rand.NewPCG(seed, 0x7374616e64))
+	b.id = sip.Ident{Own: [2]netip.AddrPort{addr, addr}, Rand: rand.New(rand.NewPCG(seed, 0x7374616e64))}
 	b.layer = transaction.New(transaction.Times{}, &b.heap, u, (*baseSender)(b))
 }
 
@@ -81,26 +80,3 @@
 	clear(b.out)
 	b.out = b.out[:0]
 }
-
-const letters = "0123456789abcdefghijklmnopqrstuv"
-
-func (b *base) token() string {
-	var t [13]byte
-	x := b.rng.Uint64()
-	for i := range t {
-		t[i] = letters[x&31]
-		x >>= 5
-	}
-	return string(t[:])
-}
-
-func (b *base) via(t sip.Transport) string {
-	return "SIP/2.0/" + t.String() + " " + sip.HostPort(b.addr) + ";rport;branch=z9hG4bK" + b.token()
-}
-
-func (b *base) contact(t sip.Transport) string {
-	if t == sip.TCP {
-		return "<sip:" + sip.HostPort(b.addr) + ";transport=tcp>"
-	}
-	return "<sip:" + sip.HostPort(b.addr) + ">"
-}
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -129,7 +129,7 @@
 		c.heap.Stop(&c.next)
 		return
 	}
-	gap := time.Duration(c.rng.ExpFloat64() / c.rate * float64(time.Second))
+	gap := time.Duration(c.id.Rand.ExpFloat64() / c.rate * float64(time.Second))
 	c.heap.Set(&c.next, c.now+gap, func() {
 		c.Dial(c.pick())
 		c.arrive()
@@ -141,7 +141,7 @@
 	for _, cl := range c.cfg.Classes {
 		sum += cl.Share
 	}
-	x := c.rng.Float64() * sum
+	x := c.id.Rand.Float64() * sum
 	for i, cl := range c.cfg.Classes {
 		if x -= cl.Share; x < 0 {
 			return i
@@ -153,11 +153,11 @@
 // Dial starts a call of a class.
 func (c *Callers) Dial(class int) {
 	c.serial++
-	d := &dialled{class: class, first: c.now, tcp: c.rng.Float64() < c.cfg.TCP,
-		number: fmt.Sprintf("%s%05d", c.cfg.Classes[class].Prefix, c.rng.IntN(c.cfg.Numbers)),
+	d := &dialled{class: class, first: c.now, tcp: c.id.Rand.Float64() < c.cfg.TCP,
+		number: fmt.Sprintf("%s%05d", c.cfg.Classes[class].Prefix, c.id.Rand.IntN(c.cfg.Numbers)),
 		caller: fmt.Sprintf("7%08d", c.serial)}
 	d.body = []byte("v=0\r\no=- 1 1 IN IP4 127.0.0.1\r\ns=-\r\nc=IN IP4 127.0.0.1\r\nt=0 0\r\nm=audio 4000 RTP/AVP 8\r\n")
-	if c.rng.Float64() < c.cfg.Large {
+	if c.id.Rand.Float64() < c.cfg.Large {
 		d.body = append(d.body, strings.Repeat("a=x-pad:0123456789012345678901234567890123456789\r\n", 30)...)
 	}
 	c.Counts[class].Offered++
@@ -171,11 +171,11 @@
 	if d.tcp {
 		t = sip.TCP
 	}
-	d.tag, d.callID, d.sent, d.leaving = c.token(), c.token()+c.token(), c.now, false
+	d.tag, d.callID, d.sent, d.leaving = c.id.Token(), c.id.Token()+c.id.Token(), c.now, false
 	node := sip.HostPort(c.cfg.Node)
-	m := sip.NewRequest(sip.INVITE, "sip:"+d.number+"@"+node, "<sip:"+d.caller+"@"+sip.HostPort(c.addr)+">;tag="+d.tag,
+	m := sip.NewRequest(sip.INVITE, "sip:"+d.number+"@"+node, "<sip:"+d.caller+"@"+c.id.SentBy(sip.UDP)+">;tag="+d.tag,
 		"<sip:"+d.number+"@"+node+">", d.callID, 1, 70)
-	m.Add("Contact", c.contact(t))
+	m.Add("Contact", c.id.Contact(t))
 	m.Add("Session-ID", d.tag+d.tag[:6]+d.tag+";remote=00000000000000000000000000000000")
 	if d.tries > 0 {
 		m.Add(sip.RedialHeader, strconv.Itoa(d.tries))
@@ -183,15 +183,15 @@
 	}
 	m.Add("Content-Type", "application/sdp")
 	m.Body = d.body
-	m.Push("Via", c.via(t))
+	m.Push("Via", c.id.Via(t))
 	d.req = m
 	d.tries++
 	d.peer = sip.Peer{Transport: t, Addr: c.cfg.Node}
 	c.calls[d.tag] = d
 	d.tx = c.layer.Start(m, d.peer, d)
 	patience := cl.Try
-	if c.rng.Float64() < c.cfg.Impatient {
-		patience = time.Duration(c.rng.Float64() * float64(patience))
+	if c.id.Rand.Float64() < c.cfg.Impatient {
+		patience = time.Duration(c.id.Rand.Float64() * float64(patience))
 		d.leaving = true
 	}
 	c.heap.Set(&d.patience, c.now+patience, func() { c.giveUp(d) })
@@ -249,7 +249,7 @@
 	c.heap.Stop(&d.patience)
 	delete(c.calls, d.tag)
 	cl := c.cfg.Classes[d.class]
-	wait := time.Duration((0.5 + c.rng.Float64()) * float64(c.cfg.Back))
+	wait := time.Duration((0.5 + c.id.Rand.Float64()) * float64(c.cfg.Back))
 	if secs, err := strconv.Atoi(m.Get("Retry-After")); err == nil {
 		wait = max(wait, time.Duration(secs)*time.Second)
 	}
@@ -290,13 +290,13 @@
 	} else {
 		c.Counts[d.class].Late++
 	}
-	c.heap.Set(&d.hang, c.now+time.Duration(c.rng.ExpFloat64()*float64(cl.Hold)), func() { c.bye(d) })
+	c.heap.Set(&d.hang, c.now+time.Duration(c.id.Rand.ExpFloat64()*float64(cl.Hold)), func() { c.bye(d) })
 }
 
 func (c *Callers) inDialog(d *dialled, method string, seq uint32) *sip.Message {
 	m := sip.NewRequest(method, d.tgt, d.req.Get("From"), d.to, d.callID, seq, 70)
 	m.Add("Session-ID", d.req.Get("Session-ID"))
-	m.Push("Via", c.via(d.peer.Transport))
+	m.Push("Via", c.id.Via(d.peer.Transport))
 	return m
 }
 
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -113,12 +113,12 @@
 		state = "terminated;reason=" + ended
 	}
 	m.Add("Subscription-State", state)
-	m.Add("Contact", l.contact(w.to.Transport))
+	m.Add("Contact", l.id.Contact(w.to.Transport))
 	if d != nil {
 		m.Add("Content-Type", pool.ContentType)
 		m.Body, _ = json.Marshal(d)
 	}
-	m.Push("Via", l.via(w.to.Transport))
+	m.Push("Via", l.id.Via(w.to.Transport))
 	l.layer.Start(m, w.to, w)
 }
 
@@ -128,13 +128,13 @@
 	case t == nil:
 		return
 	case m.Method != sip.SUBSCRIBE:
-		t.Respond(sip.NewResponse(m, 405, "", l.token()))
+		t.Respond(sip.NewResponse(m, 405, "", l.id.Token()))
 		return
 	case m.Get("Event") != pool.Event:
-		t.Respond(sip.NewResponse(m, 489, "", l.token()))
+		t.Respond(sip.NewResponse(m, 489, "", l.id.Token()))
 		return
 	case l.Refuse:
-		t.Respond(sip.NewResponse(m, 503, "", l.token()))
+		t.Respond(sip.NewResponse(m, 503, "", l.id.Token()))
 		return
 	}
 	secs, _ := strconv.Atoi(m.Get("Expires"))
@@ -145,7 +145,7 @@
 		return
 	}
 	if w == nil {
-		w = &watcher{tag: l.token(), callID: m.Get("Call-ID"), remote: m.Get("From"), to: t.From}
+		w = &watcher{tag: l.id.Token(), callID: m.Get("Call-ID"), remote: m.Get("From"), to: t.From}
 		w.local = m.Get("To") + ";tag=" + w.tag
 		w.target = "sip:" + sip.HostPort(t.From.Addr)
 		if c, err := sip.ParseAddress(m.Get("Contact")); err == nil {
@@ -159,7 +159,7 @@
 	w.until = l.now + expires
 	r := sip.NewResponse(m, 200, "", w.tag)
 	r.Add("Expires", strconv.Itoa(int(expires/time.Second)))
-	r.Add("Contact", l.contact(t.From.Transport))
+	r.Add("Contact", l.id.Contact(t.From.Transport))
 	t.Respond(r)
 	if expires <= 0 {
 		l.notify(w, nil, "timeout")
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -62,15 +62,15 @@
 		return
 	}
 	l.Placed++
-	c := &loadCall{l: l, from: "<sip:7" + strconv.Itoa(l.Placed) + "@" + sip.HostPort(l.addr) + ">;tag=" + l.token(), callID: l.token() + l.token(), sent: l.now}
+	c := &loadCall{l: l, from: "<sip:7" + strconv.Itoa(l.Placed) + "@" + l.id.SentBy(sip.UDP) + ">;tag=" + l.id.Token(), callID: l.id.Token() + l.id.Token(), sent: l.now}
 	node := sip.HostPort(l.cfg.To.Addr)
-	m := sip.NewRequest(sip.INVITE, fmt.Sprintf("sip:1%05d@%s", l.rng.IntN(100000), node), c.from, "<sip:1@"+node+">", c.callID, 1, 70)
-	m.Add("Contact", l.contact(l.cfg.To.Transport))
+	m := sip.NewRequest(sip.INVITE, fmt.Sprintf("sip:1%05d@%s", l.id.Rand.IntN(100000), node), c.from, "<sip:1@"+node+">", c.callID, 1, 70)
+	m.Add("Contact", l.id.Contact(l.cfg.To.Transport))
 	m.Add("Session-ID", c.callID+c.callID[:6]+";remote=00000000000000000000000000000000")
 	m.Add("Supported", "timer")
 	m.Add("Content-Type", "application/sdp")
 	m.Body = []byte("v=0\r\no=- 1 1 IN IP4 127.0.0.1\r\ns=-\r\nc=IN IP4 127.0.0.1\r\nt=0 0\r\nm=audio 4000 RTP/AVP 8\r\n")
-	m.Push("Via", l.via(l.cfg.To.Transport))
+	m.Push("Via", l.id.Via(l.cfg.To.Transport))
 	l.layer.Start(m, l.cfg.To, c)
 	due += time.Duration(float64(time.Second) / l.cfg.Rate)
 	l.heap.Set(&l.next, due, func() { l.place(due) })
@@ -78,7 +78,7 @@
 
 func (l *Load) inside(c *loadCall, method string, seq uint32) *sip.Message {
 	m := sip.NewRequest(method, c.target, c.from, c.to, c.callID, seq, 70)
-	m.Push("Via", l.via(l.cfg.To.Transport))
+	m.Push("Via", l.id.Via(l.cfg.To.Transport))
 	return m
 }
 
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -101,7 +101,7 @@
 		if s.Over {
 			return true
 		}
-		if s.loss > 0 && !m.IsRequest() && s.rng.Float64() < s.loss {
+		if s.loss > 0 && !m.IsRequest() && s.id.Rand.Float64() < s.loss {
 			s.Count.Lost++
 			return true
 		}
@@ -212,7 +212,7 @@
 			s.invite(t, m)
 		}
 	case sip.CANCEL:
-		t.Respond(sip.NewResponse(m, 200, "", s.token()))
+		t.Respond(sip.NewResponse(m, 200, "", s.id.Token()))
 		if i := s.layer.Matching(m); i != nil {
 			if c, ok := i.User.(*session); ok && !c.over && c.ok == nil {
 				s.Count.Cancelled++
@@ -224,7 +224,7 @@
 	case sip.BYE:
 		s.bye(t, m)
 	case sip.OPTIONS:
-		t.Respond(s.response(m, 200, s.token()))
+		t.Respond(s.response(m, 200, s.id.Token()))
 	default:
 		if c := s.byTag[m.Tag("To")]; c != nil {
 			r := s.response(m, 200, "")
@@ -232,7 +232,7 @@
 			t.Respond(r)
 			return
 		}
-		t.Respond(s.response(m, 481, s.token()))
+		t.Respond(s.response(m, 481, s.id.Token()))
 	}
 }
 
@@ -251,13 +251,13 @@
 		s.Count.TurnedAway++
 		s.releases = append(s.releases, job{s.cfg.Refusal, func() {}})
 		s.run()
-		r := s.response(m, 503, s.token())
+		r := s.response(m, 503, s.id.Token())
 		r.Add("Retry-After", strconv.Itoa(int(wait/time.Second)+1))
 		t.Respond(r)
 		return
 	}
 	seq, _, _ := m.CSeq()
-	c := &session{tx: t, req: m, tag: s.token(), taken: s.now, peerTag: m.Tag("From"), seq: seq, cost: s.cfg.SetUp}
+	c := &session{tx: t, req: m, tag: s.id.Token(), taken: s.now, peerTag: m.Tag("From"), seq: seq, cost: s.cfg.SetUp}
 	t.User = c
 	t.Respond(s.response(m, 100, ""))
 	s.setups = append(s.setups, c)
@@ -272,7 +272,7 @@
 		return
 	}
 	r := s.response(m, 200, "")
-	r.Add("Contact", s.contact(t.From.Transport))
+	r.Add("Contact", s.id.Contact(t.From.Transport))
 	r.Body = m.Body
 	if len(r.Body) > 0 {
 		r.Add("Content-Type", "application/sdp")
@@ -309,7 +309,7 @@
 		}
 		if s.cfg.Ring {
 			r := s.response(c.req, 180, c.tag)
-			r.Add("Contact", s.contact(c.tx.From.Transport))
+			r.Add("Contact", s.id.Contact(c.tx.From.Transport))
 			c.tx.Respond(r)
 		}
 		done = func() { s.stood(c) }
@@ -337,14 +337,14 @@
 		return
 	}
 	s.lastWait = s.now - c.taken
-	if s.cfg.Busy > 0 && s.rng.Float64() < s.cfg.Busy {
+	if s.cfg.Busy > 0 && s.id.Rand.Float64() < s.cfg.Busy {
 		c.over = true
 		c.tx.Respond(s.response(c.req, 486, c.tag))
 		return
 	}
 	s.Count.Stood++
 	r := s.response(c.req, 200, c.tag)
-	r.Add("Contact", s.contact(c.tx.From.Transport))
+	r.Add("Contact", s.id.Contact(c.tx.From.Transport))
 	if len(c.req.Body) > 0 {
 		r.Add("Content-Type", "application/sdp")
 		r.Body = c.req.Body
@@ -353,8 +353,8 @@
 	c.ok = r
 	c.tx.Respond(r)
 	s.guard(c)
-	if s.cfg.HangUp > 0 && s.rng.Float64() < s.cfg.HangUp {
-		s.heap.Set(&c.hang, s.now+time.Duration(s.rng.ExpFloat64()*float64(s.cfg.Hold)), func() { s.hangUp(c, "") })
+	if s.cfg.HangUp > 0 && s.id.Rand.Float64() < s.cfg.HangUp {
+		s.heap.Set(&c.hang, s.now+time.Duration(s.id.Rand.ExpFloat64()*float64(s.cfg.Hold)), func() { s.hangUp(c, "") })
 	}
 }
 
@@ -411,7 +411,7 @@
 	if reason != "" {
 		b.Add("Reason", reason)
 	}
-	b.Push("Via", s.via(c.tx.From.Transport))
+	b.Push("Via", s.id.Via(c.tx.From.Transport))
 	s.layer.Start(b, c.tx.From, nil)
 	s.end(c)
 }
