The CANCEL of a re-INVITE waits for the other side's 1xx

Cause: before a 1xx it was dropped. Change: it is sent with the first 1xx (RFC 3261, section 9.1). Result: test of the crossing; the call stands on.

--- a/internal/node/dialog_test.go
+++ b/internal/node/dialog_test.go
@@ -47,6 +47,28 @@
 	}
 }
 
+// The CANCEL of a re-INVITE waits for the other side's 1xx.
+func TestCancelOfReinvite(t *testing.T) {
+	s := newScript(t, nil)
+	inv, up, _, _, server := s.standing("a")
+	re := inside(sip.INVITE, inv, up, 2)
+	re.Body = []byte("v=0 hold\r\n")
+	s.in(callerPeer, re)
+	out := s.want(sip.INVITE)
+	c := sip.NewRequest(sip.CANCEL, re.URI, re.Get("From"), re.Get("To"), re.Get("Call-ID"), 2, 70)
+	c.Push("Via", re.Get("Via"))
+	s.in(callerPeer, c)
+	s.want("200")
+	s.none(sip.CANCEL)
+	s.in(server, reply(out.Send, 100))
+	cancel := s.want(sip.CANCEL)
+	s.in(server, reply(cancel.Send, 200), reply(out.Send, 487))
+	s.want("487")
+	if _, standing := s.n.Open(); standing != 1 {
+		t.Error("the call was lost with its re-INVITE")
+	}
+}
+
 // An offer in the 2xx: the caller's ACK holds the answer and goes through.
 func TestLateOffer(t *testing.T) {
 	s := newScript(t, nil)
--- a/internal/node/indialog.go
+++ b/internal/node/indialog.go
@@ -13,11 +13,12 @@
 
 // relay is a request inside a dialog on its way from one side to the other.
 type relay struct {
-	tx     *transaction.Server
-	req    *sip.Message
-	from   *leg
-	client *transaction.Client
-	done   bool
+	tx        *transaction.Server
+	req       *sip.Message
+	from      *leg
+	client    *transaction.Client
+	cancelled bool // by its sender: the CANCEL waits for a 1xx (section 9.1)
+	done      bool
 }
 
 // inDialog takes a request with a To tag.
@@ -98,6 +99,10 @@
 func (r *relay) response(n *Node, m *sip.Message) {
 	p := r.from.peer
 	invite := r.req.Method == sip.INVITE
+	if m.Status < 200 && r.cancelled {
+		r.cancelled = false
+		n.layer.Start(transaction.CancelFor(r.client.Request), r.client.To, nil)
+	}
 	switch {
 	case m.Status == 100:
 		return
@@ -152,8 +157,12 @@
 
 // cancel takes the CANCEL of a passed-on INVITE.
 func (r *relay) cancel(n *Node) {
-	if !r.done && r.client.Provisional() {
+	switch {
+	case r.done:
+	case r.client.Provisional():
 		n.layer.Start(transaction.CancelFor(r.client.Request), r.client.To, nil)
+	default:
+		r.cancelled = true
 	}
 }
 
