Tests for guards of the node that stood without one

Need: taking out each guard once showed nine that no test missed. Change: tests for them; a guard that could not act and a wrong model of a dying sender are gone. Result: each new test fails without its guard.

--- a/internal/node/call_test.go
+++ b/internal/node/call_test.go
@@ -399,6 +399,36 @@
 	}
 }
 
+func TestRefusedAfterProvisionalIsReset(t *testing.T) {
+	s := newScript(t, nil)
+	s.in(callerPeer, invite("a"))
+	out := s.want(sip.INVITE)
+	s.in(out.To, reply(out.Send, 100))
+	s.n.Lost(s.now, out.To, sip.ErrRefused)
+	s.take()
+	if s.toldOf("over 1/0 outcome 5") != 1 {
+		t.Errorf("told %q", s.told)
+	}
+}
+
+// The core gives a call one final answer, whoever asks for a second.
+func TestCoreKeepsBackSecondAnswer(t *testing.T) {
+	s := newScript(t, nil)
+	s.in(callerPeer, invite("a"))
+	k := s.n.calls[1]
+	r := s.n.final(k, 504, "")
+	s.n.answer(k, r, "failed", "first")
+	second := r.Clone()
+	second.Status = 486
+	s.n.answer(k, second, "failed", "second")
+	s.take()
+	s.want("504")
+	s.none("486")
+	if s.n.Stats.Asserts != 1 || s.n.Stats.Classes[0].Failed != 1 {
+		t.Errorf("%d asserts, %+v", s.n.Stats.Asserts, s.n.Stats.Classes[0])
+	}
+}
+
 // A connection breaks in mid-attempt: reset, and the release guard holds.
 func TestConnectionLostInAttempt(t *testing.T) {
 	s := newScript(t, func(c *Config) {
--- a/internal/node/dialog.go
+++ b/internal/node/dialog.go
@@ -163,7 +163,7 @@
 }
 
 func (l *leg) repeat2xx(n *Node, p *pending2xx) {
-	if l.ok != p || l.over {
+	if l.ok != p {
 		return
 	}
 	if n.now >= p.until {
--- a/internal/node/dialog_test.go
+++ b/internal/node/dialog_test.go
@@ -47,6 +47,34 @@
 	}
 }
 
+// An ACK to another INVITE than the one whose 2xx waits acknowledges nothing.
+func TestAckOfAnother(t *testing.T) {
+	s := newScript(t, nil)
+	inv := invite("a")
+	s.in(callerPeer, inv)
+	out := s.want(sip.INVITE)
+	s.in(out.To, reply(out.Send, 200))
+	up := s.want("200").Send
+	s.in(callerPeer, inside(sip.ACK, inv, up, 7))
+	s.run(600 * time.Millisecond)
+	s.want("200")
+	s.in(callerPeer, inside(sip.ACK, inv, up, 1))
+	s.run(5 * time.Second)
+	s.none("200")
+}
+
+// A 2xx to an INVITE that this node never sent is not released: it is not this node's (section 18.1.2).
+func TestForeignAnswer(t *testing.T) {
+	s := newScript(t, nil)
+	m := invite("elsewhere")
+	s.in(callerPeer, reply(m, 200))
+	s.none(sip.ACK)
+	s.none(sip.BYE)
+	m.Set("Via", "SIP/2.0/UDP 127.0.0.1:5060;branch=z9hG4bKlong-gone")
+	s.in(callerPeer, reply(m, 200))
+	s.want(sip.BYE)
+}
+
 // The CANCEL of a re-INVITE waits for the other side's 1xx.
 func TestCancelOfReinvite(t *testing.T) {
 	s := newScript(t, nil)
@@ -140,6 +168,10 @@
 	old := inside(sip.INFO, inv, up, 1)
 	s.in(callerPeer, old)
 	s.want("500") // section 12.2.2
+	tired := inside(sip.INFO, inv, up, 4)
+	tired.Set("Max-Forwards", "0")
+	s.in(callerPeer, tired)
+	s.want("483")
 	stranger := inside(sip.BYE, inv, up, 9)
 	stranger.Set("From", "<sip:x@127.0.0.1>;tag=stranger")
 	s.in(callerPeer, stranger)
@@ -330,11 +362,27 @@
 	notify(sub, 3, pool.Document{Version: 6, State: "partial", Servers: []pool.Server{two}}) // again: nothing new
 	notify(sub, 4, pool.Document{Version: 8, State: "partial", Servers: []pool.Server{two}}) // 7 is missing
 	again := s.want(sip.SUBSCRIBE).Send
+	for from, status := range map[string]string{"127.0.0.7:5090": "403", "127.0.0.1:5090": "500"} {
+		m := sip.NewRequest(sip.NOTIFY, "sip:127.0.0.1:5060", again.Get("To")+";tag=n", again.Get("From"), again.Get("Call-ID"), 1, 70)
+		m.Add("Event", pool.Event)
+		m.Add("Subscription-State", "active;expires=40")
+		m.Push("Via", "SIP/2.0/UDP "+from+";branch=z9hG4bKx"+status)
+		if status == "500" { // one that is older than the last
+			good := m.Clone()
+			good.Set("CSeq", "2 NOTIFY")
+			good.Set("Via", "SIP/2.0/UDP "+from+";branch=z9hG4bKgood")
+			s.in(sip.Peer{Addr: sipAddr(from)}, good)
+			s.want("200")
+		}
+		m.Body = []byte(`{"version":1,"state":"full","servers":[]}`)
+		s.in(sip.Peer{Addr: sipAddr(from)}, m)
+		s.want(status)
+	}
 	if again.Get("Call-ID") == sub.Get("Call-ID") || len(s.told) != 3 {
 		t.Errorf("gap: told %q", s.told)
 	}
 	s.in(list, withExpires(reply(again, 200), 40))
-	notify(again, 1, pool.Document{Version: 2, State: "full", Servers: []pool.Server{one}}) // a list server that counts anew
+	notify(again, 3, pool.Document{Version: 2, State: "full", Servers: []pool.Server{one}}) // a list server that counts anew
 	if s.toldOf("list kind 1 version 2") != 1 {
 		t.Errorf("told %q", s.told)
 	}
--- a/internal/sip/transaction/layer_test.go
+++ b/internal/sip/transaction/layer_test.go
@@ -224,6 +224,28 @@
 	r.want(t, "0s request INVITE", "0s request INVITE", "0s request INVITE", "0s request CANCEL")
 }
 
+// After a 2xx a failure says nothing any more (RFC 6026, section 7.2); the loss of one connection ends what went by it
+// and nothing else.
+func TestWhatIsNotHeeded(t *testing.T) {
+	r := newRig()
+	m := req(sip.INVITE, "a")
+	r.l.Start(m, udp, nil)
+	r.l.Receive(resp(m, 200), udp)
+	r.l.Receive(resp(m, 486), udp)
+	r.want(t, "0s send INVITE", "0s response 200")
+
+	r = newRig()
+	one, two := tcp, tcp
+	one.Conn, two.Conn = 4, 5
+	r.l.Start(req(sip.BYE, "b"), one, nil)
+	r.l.Start(req(sip.BYE, "c"), two, nil)
+	r.l.Failed(two, sip.ErrLost)
+	r.want(t, "0s send BYE", "0s send BYE", "0s timed out: connection lost")
+	if c, _ := r.l.Open(); c != 1 {
+		t.Errorf("%d transactions open", c)
+	}
+}
+
 // Whatever comes in whatever order: one final answer but for repeats, one end of each client transaction, nothing left.
 func TestAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/virtual/net.go
+++ b/internal/virtual/net.go
@@ -252,9 +252,7 @@
 	}
 	dst, from := c.ends[1-end], sip.Peer{Transport: sip.TCP, Addr: c.port[end], Conn: c.id}
 	n.At(n.now+n.Delay, func() { // in order: no jitter on a connection
-		if c.open {
-			read(dst, from)
-		}
+		read(dst, from) // also when its sender has died meanwhile: the kernel had it already
 	})
 }
 
