--- /dev/null
+++ b/internal/rules/check_test.go
@@ -0,0 +1,222 @@
+package rules
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"larkrouter/internal/sip"
+)
+
+const (
+	callerAt = "127.0.0.1:5070"
+	nodeAt   = "127.0.0.1:5060"
+	one, two = "127.0.0.1:5081", "127.0.0.1:5082"
+)
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// capture is written by hand, a message a line.
+type capture []Record
+
+func (c *capture) msg(at int, where, dir, self string, m *sip.Message) {
+	*c = append(*c, Record{Time: ms(at), Kind: "msg", At: where, Dir: dir, Self: self, Peer: "udp:" + nodeAt, Msg: m})
+}
+
+func invite(id, session, via string) *sip.Message {
+	m := sip.NewRequest(sip.INVITE, "sip:1@"+nodeAt, "<sip:7@h>;tag=f", "<sip:1@h>", id, 1, 70)
+	m.Add("Session-ID", session+";remote=0")
+	m.Push("Via", "SIP/2.0/UDP "+via+";branch=z9hG4bK"+id)
+	return m
+}
+
+// attempt notes an INVITE at a server.
+func (c *capture) attempt(at int, server, id, session string) *sip.Message {
+	m := invite(id, session, nodeAt)
+	c.msg(at, "server", "in", server, m)
+	return m
+}
+
+func (c *capture) answer(at int, server string, m *sip.Message, status int) {
+	c.msg(at, "server", "out", server, sip.NewResponse(m, status, "", "s"))
+}
+
+func (c *capture) cancel(at int, server string, m *sip.Message) {
+	x := m.Clone()
+	x.Method = sip.CANCEL
+	x.Set("CSeq", "1 CANCEL")
+	c.msg(at, "server", "in", server, x)
+}
+
+func (c *capture) list(at int, node, address, phase string, started int) {
+	*c = append(*c, Record{Time: ms(at), Kind: "list", Self: node, List: []ListEntry{{address, phase, ms(started)}}})
+}
+
+var figures = Figures{Tries: []Try{{"1", time.Second}}, AnswerSlack: ms(10), ReleaseGuard: ms(300), DrainGrace: ms(200), ColdShare: 0.5,
+	RampTime: 10 * time.Second, TipMultiple: 2, OverloadFor: time.Second, Capacity: map[string]float64{one: 20}, Slack: ms(1)}
+
+// Each line of the rules, kept and broken, on captures of a few messages.
+func TestByHand(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		breaks string // numbers of the rules broken
+		build  func(c *capture)
+	}{
+		{"in time", "", func(c *capture) {
+			m := invite("a", "s", callerAt)
+			c.msg(0, "caller", "out", callerAt, m)
+			c.msg(900, "caller", "in", callerAt, sip.NewResponse(m, 200, "", "t"))
+			c.msg(1400, "caller", "in", callerAt, sip.NewResponse(m, 200, "", "t")) // a repeat
+		}},
+		{"late", "1", func(c *capture) {
+			m := invite("a", "s", callerAt)
+			c.msg(0, "caller", "out", callerAt, m)
+			c.msg(1100, "caller", "in", callerAt, sip.NewResponse(m, 200, "", "t"))
+		}},
+		{"late, while the node stood still", "", func(c *capture) {
+			m := invite("a", "s", callerAt)
+			c.msg(0, "caller", "out", callerAt, m)
+			*c = append(*c, Record{Time: ms(500), Kind: "stalled", Self: nodeAt, Until: ms(2000)})
+			c.msg(2005, "caller", "in", callerAt, sip.NewResponse(m, 503, "", "t"))
+		}},
+		{"late, long after it stood still", "1", func(c *capture) {
+			m := invite("a", "s", callerAt)
+			c.msg(0, "caller", "out", callerAt, m)
+			*c = append(*c, Record{Time: ms(500), Kind: "stalled", Self: nodeAt, Until: ms(2000)})
+			c.msg(2500, "caller", "in", callerAt, sip.NewResponse(m, 503, "", "t"))
+		}},
+		{"two answers", "1", func(c *capture) {
+			m := invite("a", "s", callerAt)
+			c.msg(0, "caller", "out", callerAt, m)
+			c.msg(100, "caller", "in", callerAt, sip.NewResponse(m, 503, "", "t"))
+			c.msg(200, "caller", "in", callerAt, sip.NewResponse(m, 200, "", "u"))
+		}},
+		{"ringing after the answer", "1", func(c *capture) {
+			m := invite("a", "s", callerAt)
+			c.msg(0, "caller", "out", callerAt, m)
+			c.msg(100, "caller", "in", callerAt, sip.NewResponse(m, 503, "", "t"))
+			c.msg(200, "caller", "in", callerAt, sip.NewResponse(m, 180, "", "u"))
+		}},
+		{"accepted and never answered", "1", func(c *capture) {
+			m := invite("a", "s", callerAt)
+			c.msg(0, "caller", "out", callerAt, m)
+			c.msg(1, "caller", "in", callerAt, sip.NewResponse(m, 100, "", ""))
+			c.list(3000, nodeAt, two, "ready", 0)
+		}},
+		{"never answered, its node killed", "", func(c *capture) {
+			m := invite("a", "s", callerAt)
+			c.msg(0, "caller", "out", callerAt, m)
+			c.msg(1, "caller", "in", callerAt, sip.NewResponse(m, 100, "", ""))
+			*c = append(*c, Record{Time: ms(500), Kind: "killed", Self: nodeAt})
+			c.list(3000, nodeAt, two, "ready", 0)
+		}},
+		{"turned away, then elsewhere at once", "", func(c *capture) {
+			m := c.attempt(0, one, "a", "s")
+			c.answer(5, one, m, 503)
+			c.attempt(10, two, "b", "s")
+		}},
+		{"two at once", "2", func(c *capture) {
+			m := c.attempt(0, one, "a", "s")
+			c.answer(5, one, m, 100)
+			c.attempt(500, two, "b", "s")
+		}},
+		{"two at once, the first standing", "2", func(c *capture) {
+			m := c.attempt(0, one, "a", "s")
+			c.answer(5, one, m, 200)
+			c.attempt(500, two, "b", "s")
+		}},
+		{"an old one repeated beside the new", "2", func(c *capture) {
+			c.attempt(0, one, "a", "s")
+			c.attempt(400, two, "b", "s")
+			c.attempt(900, one, "a", "s")
+		}},
+		{"unanswered, silent for the guard", "", func(c *capture) {
+			c.attempt(0, one, "a", "s")
+			c.attempt(400, two, "b", "s")
+		}},
+		{"its server gone", "", func(c *capture) {
+			m := c.attempt(0, one, "a", "s")
+			c.answer(5, one, m, 100)
+			*c = append(*c, Record{Time: ms(50), Kind: "down", Self: one})
+			c.attempt(100, two, "b", "s")
+		}},
+		{"cancelled, the guard awaited", "", func(c *capture) {
+			m := c.attempt(0, one, "a", "s")
+			c.answer(5, one, m, 100)
+			c.cancel(500, one, m)
+			c.attempt(810, two, "b", "s")
+		}},
+		{"cancelled, and sent again at once", "5", func(c *capture) {
+			m := c.attempt(0, one, "a", "s")
+			c.answer(5, one, m, 100)
+			c.cancel(500, one, m)
+			c.attempt(600, two, "b", "s")
+		}},
+		{"a CANCEL that waited for its 1xx", "", func(c *capture) {
+			m := c.attempt(0, one, "a", "s")
+			c.answer(490, one, m, 100)
+			c.cancel(500, one, m) // given up long before
+			c.attempt(600, two, "b", "s")
+		}},
+		{"within the grace of a drain", "", func(c *capture) {
+			c.list(0, nodeAt, one, "draining", 0)
+			c.attempt(150, one, "a", "s")
+		}},
+		{"past it", "3", func(c *capture) {
+			c.list(0, nodeAt, one, "draining", 0)
+			c.attempt(300, one, "a", "s")
+		}},
+		{"left out of the whole list", "3", func(c *capture) {
+			c.list(0, nodeAt, one, "ready", 0)
+			*c = append(*c, Record{Time: ms(10), Kind: "list", Self: nodeAt, Full: true, List: []ListEntry{{two, "ready", 0}}})
+			c.attempt(500, one, "a", "s")
+		}},
+		{"a cold server with what it can do", "", func(c *capture) {
+			c.list(1000, nodeAt, one, "ready", 1000)
+			for i := range 20 {
+				c.attempt(1001+40*i, one, fmt.Sprint("a", i), fmt.Sprint("s", i))
+			}
+		}},
+		{"a cold server flooded", "4", func(c *capture) {
+			c.list(1000, nodeAt, one, "ready", 1000)
+			for i := range 40 {
+				c.attempt(1001+20*i, one, fmt.Sprint("a", i), fmt.Sprint("s", i))
+			}
+		}},
+		{"flooded before anybody knew of its start", "", func(c *capture) {
+			for i := range 40 {
+				c.attempt(1001+20*i, one, fmt.Sprint("a", i), fmt.Sprint("s", i))
+			}
+			c.list(3000, nodeAt, one, "ready", 1000)
+		}},
+		{"flooded when it is warm", "", func(c *capture) {
+			c.list(1000, nodeAt, one, "ready", 1000)
+			for i := range 40 {
+				c.attempt(12000+20*i, one, fmt.Sprint("a", i), fmt.Sprint("s", i))
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var records capture
+			c.build(&records)
+			rep := Check(records, figures)
+			var broken []string
+			for i, v := range rep.Rules {
+				if v.Breaks > 0 {
+					broken = append(broken, fmt.Sprint(i+1))
+				}
+			}
+			if got := strings.Join(broken, " "); got != c.breaks {
+				t.Errorf("broken %q, %q is right: %+v", got, c.breaks, rep)
+			}
+		})
+	}
+}
+
+// A rule of which nothing was checked is not kept.
+func TestNothingChecked(t *testing.T) {
+	if rep := Check(nil, figures); rep.Kept() != 0 || rep.Line() != "rules kept: 0 of 5" {
+		t.Error(rep.Line())
+	}
+}
