--- a/internal/store/compact.go
+++ b/internal/store/compact.go
@@ -179,6 +179,7 @@
 			to.off, to.op = size+int64(at), 0
 			buf = appendFrame(buf, out.id, to.off, l.seq, []op{o})
 			to.frame = uint32(len(buf) - at)
+			out.content = headSum(out.content, buf[at:])
 			list = append(list, moved{coll, key, l, to})
 			out.frames++
 			if len(buf) >= compactWrite {
@@ -194,7 +195,7 @@
 			return nil, nil, fail
 		}
 	}
-	foot := appendFooter(nil, out.id, size+int64(len(buf)), footer{out.frames, out.last, out.base, s.now()})
+	foot := appendFooter(nil, out.id, size+int64(len(buf)), footer{out.frames, out.last, out.base, s.now(), out.content})
 	buf = append(buf, foot...)
 	if err := flush(); err != nil {
 		return nil, nil, err
--- a/internal/store/format.go
+++ b/internal/store/format.go
@@ -12,7 +12,7 @@
 	formatVersion = 1
 	headerSize    = 40
 	frameHead     = 8
-	footerSize    = 40
+	footerSize    = 44
 	footerMark    = 0xffffffff
 	maxFrame      = 64 << 20
 )
@@ -76,14 +76,16 @@
 	count, last uint64 // frames, highest sequence number
 	base        uint64
 	now         int64
+	content     uint32 // over the heads of all entries: two files with one footer hold the same
 }
 
 func appendFooter(b []byte, id uint64, off int64, f footer) []byte {
-	var body [32]byte
+	var body [footerSize - frameHead]byte
 	binary.LittleEndian.PutUint64(body[0:], f.count)
 	binary.LittleEndian.PutUint64(body[8:], f.last)
 	binary.LittleEndian.PutUint64(body[16:], f.base)
 	binary.LittleEndian.PutUint64(body[24:], uint64(f.now))
+	binary.LittleEndian.PutUint32(body[32:], f.content)
 	b = binary.LittleEndian.AppendUint32(b, footerMark)
 	b = binary.LittleEndian.AppendUint32(b, sum(id, off, body[:]))
 	return append(b, body[:]...)
@@ -93,7 +95,13 @@
 	if len(b) != footerSize || binary.LittleEndian.Uint32(b) != footerMark || binary.LittleEndian.Uint32(b[4:]) != sum(id, off, b[8:]) {
 		return f, false
 	}
-	return footer{binary.LittleEndian.Uint64(b[8:]), binary.LittleEndian.Uint64(b[16:]), binary.LittleEndian.Uint64(b[24:]), int64(binary.LittleEndian.Uint64(b[32:]))}, true
+	return footer{count: binary.LittleEndian.Uint64(b[8:]), last: binary.LittleEndian.Uint64(b[16:]), base: binary.LittleEndian.Uint64(b[24:]),
+		now: int64(binary.LittleEndian.Uint64(b[32:])), content: binary.LittleEndian.Uint32(b[40:])}, true
+}
+
+// headSum adds an entry's head, which holds the sum of its content, to the sum over a segment's.
+func headSum(content uint32, frame []byte) uint32 {
+	return crc32.Update(content, castagnoli, frame[:frameHead])
 }
 
 // appendFrame writes ops with consecutive sequence numbers from first on.
--- a/internal/store/hint.go
+++ b/internal/store/hint.go
@@ -130,6 +130,7 @@
 		l.ops, g.first = nil, 0
 		return false
 	}
+	g.content = ft.content
 	g.frames, g.last, g.base, g.sealed = ft.count, ft.last, ft.base, true
 	l.sealed, l.base, l.now = true, ft.base, ft.now
 	return true
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -402,8 +402,8 @@
 	for at < size {
 		if ft, ok := readFooter(b[at:min(size, at+footerSize)], id, at); ok && at+footerSize == size {
 			l.sealed, l.base, l.now, end, ftLast = true, ft.base, ft.now, size, ft.last
-			if ft.count != g.frames && len(l.damage) == 0 {
-				hurt(at, size, ft.last+1, fmt.Sprintf("%d entries, the footer counts %d", g.frames, ft.count))
+			if (ft.count != g.frames || ft.content != g.content) && len(l.damage) == 0 {
+				hurt(at, size, ft.last+1, fmt.Sprintf("%d entries, the footer counts %d, or others", g.frames, ft.count))
 			}
 			break
 		}
@@ -438,6 +438,7 @@
 			return nil, fmt.Errorf("%s at %d: %w", name, at, err)
 		}
 		g.frames++
+		g.content = headSum(g.content, b[at:])
 		at += int64(frame)
 		end = at
 	}
@@ -546,7 +547,7 @@
 // roll seals the active segment and begins the next.
 func (s *Store) roll() error {
 	g := s.active
-	foot := appendFooter(nil, g.id, g.size, footer{g.frames, g.last, 0, s.now()})
+	foot := appendFooter(nil, g.id, g.size, footer{g.frames, g.last, 0, s.now(), g.content})
 	if _, err := g.file.Write(foot); err != nil {
 		return fmt.Errorf("sealing %s: %w", g.name, err)
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -111,6 +111,7 @@
 	sealed     bool
 	damaged    bool
 	frames     uint64
+	content    uint32 // sum over the entries' heads
 	last       uint64 // highest sequence number in it
 	first      uint64
 	live       int64      // bytes of records that are the newest
@@ -293,6 +294,7 @@
 	off   int64
 	size  int64
 	first uint64 // sequence number of its first change
+	head  [frameHead]byte
 }
 
 // round does the writes of a list; an error is one of the disk.
@@ -336,7 +338,7 @@
 			}
 			s.given += uint64(len(r.ops))
 			list = list[1:]
-			done = append(done, placed{r, off, int64(len(buf) - at), first})
+			done = append(done, placed{r, off, int64(len(buf) - at), first, [frameHead]byte(buf[at:])})
 			sync = sync || r.dur == Sync
 			if seg.size+int64(len(buf)) >= s.opt.SegmentSize {
 				seal = true
@@ -395,6 +397,7 @@
 	}
 	for _, p := range done {
 		seg.frames++
+		seg.content = headSum(seg.content, p.head[:])
 		for i, o := range p.r.ops {
 			l := loc{seg: seg, off: p.off, seq: p.first + uint64(i), expires: o.expires, frame: uint32(p.size), op: uint32(i), size: opSize(o)}
 			s.set(o, l)
--- a/internal/store/vfs/sim.go
+++ b/internal/store/vfs/sim.go
@@ -13,15 +13,16 @@
 // Sim is a file system in memory that behaves like a disk at its worst. What has not been synced may be lost, or be
 // there in part up to a sector's bound, when it crashes; names that SyncDir has not kept may be lost too.
 type Sim struct {
-	mu     sync.Mutex
-	names  map[string]*simData // as the process sees them
-	kept   map[string]*simData // as SyncDir left them
-	locked bool
-	Ops    int                             // operations so far that change something
-	Fail   func(op int, what string) error // asked before each; an error is given in its place
-	Crash  int                             // at this operation and from it on nothing works any more; 0: never
-	Full   int64                           // bytes that fit; 0: any number
-	dead   bool
+	mu         sync.Mutex
+	names      map[string]*simData // as the process sees them
+	kept       map[string]*simData // as SyncDir left them
+	locked     bool
+	Ops        int                             // operations so far that change something
+	Fail       func(op int, what string) error // asked before each; an error is given in its place
+	Crash      int                             // at this operation and from it on nothing works any more; 0: never
+	Full       int64                           // bytes that fit; 0: any number
+	Unreadable func(name string) error         // asked before each read; an error is given in its place
+	dead       bool
 }
 
 type simData struct {
@@ -128,8 +129,9 @@
 func (s *Sim) Len(name string) int { return len(s.names[name].data) }
 
 type simFile struct {
-	s *Sim
-	d *simData
+	s    *Sim
+	d    *simData
+	name string
 }
 
 // Create implements FS.
@@ -144,7 +146,7 @@
 	}
 	d := &simData{}
 	s.names[name] = d
-	return &simFile{s, d}, nil
+	return &simFile{s, d, name}, nil
 }
 
 // Open implements FS.
@@ -158,7 +160,7 @@
 	if d == nil {
 		return nil, fmt.Errorf("open %s: %w", name, fs.ErrNotExist)
 	}
-	return &simFile{s, d}, nil
+	return &simFile{s, d, name}, nil
 }
 
 // Rename implements FS.
@@ -265,6 +267,11 @@
 	if f.s.dead {
 		return 0, ErrCrashed
 	}
+	if f.s.Unreadable != nil {
+		if err := f.s.Unreadable(f.name); err != nil {
+			return 0, err
+		}
+	}
 	if at >= int64(len(f.d.data)) {
 		return 0, fmt.Errorf("read at %d: %w", at, io.EOF)
 	}
