--- a/internal/daemon/kill_test.go
+++ b/internal/daemon/kill_test.go
@@ -16,7 +16,6 @@
 
 	"larkrouter/internal/config"
 	"larkrouter/internal/node"
-	"larkrouter/internal/sip/transport"
 	"larkrouter/internal/standin"
 	"larkrouter/internal/store"
 	"larkrouter/internal/store/vfs"
@@ -44,13 +43,13 @@
 func TestKillAndRestart(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	srvAt, nodeAt, callerAt := freePort(t), freePort(t), freePort(t)
+	nodeAt := freePort(t)
 	run := func(l *Loop) {
 		done := make(chan struct{})
 		go func() { defer close(done); l.Run(ctx) }()
 		t.Cleanup(func() { cancel(); <-done })
 	}
-	srv, err := NewLoop(transport.Config{UDP: srvAt, TCP: srvAt})
+	srv, srvAt, err := NewLoopback()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -92,7 +91,7 @@
 		return cmd, log
 	}
 	first, _ := life("the first life")
-	cl, err := NewLoop(transport.Config{UDP: callerAt, TCP: callerAt})
+	cl, callerAt, err := NewLoopback()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -59,6 +60,23 @@
 	return l, err
 }
 
+// NewLoopback opens a loop at a port of 127.0.0.1 that is free for both transports.
+func NewLoopback() (*Loop, netip.AddrPort, error) {
+	var err error
+	for range 20 {
+		var l *Loop
+		if l, err = NewLoop(transport.Config{UDP: netip.MustParseAddrPort("127.0.0.1:0")}); err != nil {
+			continue
+		}
+		at := l.stack.UDPAddr()
+		l.stack.Close()
+		if l, err = NewLoop(transport.Config{UDP: at, TCP: at}); err == nil {
+			return l, at, nil
+		} // another has the port for TCP
+	}
+	return nil, netip.AddrPort{}, err
+}
+
 // Stack is the loop's sockets.
 func (l *Loop) Stack() *transport.Stack { return l.stack }
 
--- a/internal/daemon/serve_test.go
+++ b/internal/daemon/serve_test.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"larkrouter/internal/config"
-	"larkrouter/internal/sip/transport"
 	"larkrouter/internal/standin"
 )
 
@@ -39,12 +38,12 @@
 // freePort finds a port that both transports have.
 func freePort(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := NewLoop(transport.Config{UDP: netip.MustParseAddrPort("127.0.0.1:0")})
+	l, at, err := NewLoopback()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.stack.Close()
-	return l.stack.UDPAddr()
+	l.stack.Close()
+	return at
 }
 
 // served is a node served as the program does it, with a call server and callers.
@@ -68,8 +67,7 @@
 		t.Cleanup(func() { cancel(); <-done })
 	}
 	open := func() (*Loop, netip.AddrPort) {
-		at := freePort(t)
-		l, err := NewLoop(transport.Config{UDP: at, TCP: at})
+		l, at, err := NewLoopback()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/demo/stage.go
+++ b/internal/demo/stage.go
@@ -196,35 +196,17 @@
 	return s
 }
 
-var loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
-
-// Address implements Stage: it opens the sockets, any free port that both transports have.
+// Address implements Stage: it opens the sockets.
 func (s *Sockets) Address(name string) (netip.AddrPort, error) {
-	var err error
-	for range 20 {
-		var l *daemon.Loop
-		if l, err = daemon.NewLoop(transport.Config{UDP: netip.AddrPortFrom(loopback, 0)}); err != nil {
-			continue
-		}
-		addr := l.Stack().UDPAddr()
-		l.Stack().Close()
-		if l, err = s.open(addr); err != nil {
-			continue // another has the port for TCP
-		}
-		s.mu.Lock()
-		s.parties[name] = &running{Party: Party{Name: name, Addr: addr}, loop: l}
-		s.mu.Unlock()
-		return addr, nil
-	}
-	return netip.AddrPort{}, err
-}
-
-func (s *Sockets) open(addr netip.AddrPort) (*daemon.Loop, error) {
-	l, err := daemon.NewLoop(transport.Config{UDP: addr, TCP: addr})
-	if err == nil {
-		l.Clock = s.clock
+	l, addr, err := daemon.NewLoopback()
+	if err != nil {
+		return addr, err
 	}
-	return l, err
+	l.Clock = s.clock
+	s.mu.Lock()
+	s.parties[name] = &running{Party: Party{Name: name, Addr: addr}, loop: l}
+	s.mu.Unlock()
+	return addr, nil
 }
 
 // Boot implements Stage.
@@ -233,10 +215,11 @@
 	defer s.mu.Unlock()
 	r := s.parties[p.Name]
 	if r == nil || r.loop == nil {
-		l, err := s.open(p.Addr)
+		l, err := daemon.NewLoop(transport.Config{UDP: p.Addr, TCP: p.Addr})
 		if err != nil {
 			return err
 		}
+		l.Clock = s.clock
 		r = &running{loop: l}
 		s.parties[p.Name] = r
 	}
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -20,7 +20,6 @@
 
 	"larkrouter/internal/daemon"
 	"larkrouter/internal/sip"
-	"larkrouter/internal/sip/transport"
 	"larkrouter/internal/standin"
 )
 
@@ -69,22 +68,11 @@
 		go func() { defer close(end); l.Run(ctx) }()
 	}
 	open := func() (*daemon.Loop, netip.AddrPort, error) {
-		for try := 0; ; try++ {
-			probe, err := daemon.NewLoop(transport.Config{UDP: netip.MustParseAddrPort("127.0.0.1:0")})
-			if err != nil {
-				return nil, netip.AddrPort{}, err
-			}
-			at := probe.Stack().UDPAddr()
-			probe.Stack().Close()
-			l, err := daemon.NewLoop(transport.Config{UDP: at, TCP: at})
-			if err == nil {
-				l.Clock = clock
-				return l, at, nil
-			}
-			if try > 20 {
-				return nil, at, err
-			}
+		l, at, err := daemon.NewLoopback()
+		if err == nil {
+			l.Clock = clock
 		}
+		return l, at, err
 	}
 	tr, word := sip.UDP, "udp"
 	if o.TCP {
