Log records below the wanted level are not made

Need: each call made two records on the call path that the log then dropped. Change: the node knows the level; one table of levels serves node and log.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -171,6 +171,11 @@
 	}
 }
 
+var levels = map[string]node.Level{"debug": node.Debug, "info": node.Info, "warn": node.Warn, "error": node.Error}
+
+// NodeLevel is the level in the node's terms, which are those of log/slog.
+func (l Log) NodeLevel() node.Level { return levels[l.Level] }
+
 func addr(s string) netip.AddrPort {
 	a, _ := netip.ParseAddrPort(s)
 	return a
@@ -190,7 +195,7 @@
 	c := node.Config{Seed: seed, Routes: f.Route, Servers: f.Server, ListExpires: time.Duration(f.Pool.Expires),
 		Times:    transaction.Times{T1: time.Duration(f.Timers.T1), T2: time.Duration(f.Timers.T2), T4: time.Duration(f.Timers.T4)},
 		MaxCalls: f.Calls.MaxOpen, RetryAfter: time.Duration(r.MaxRetryAfter), Alerting: f.Calls.Stands == "alerting",
-		RefuseWith: f.Calls.RefuseWith, Pass: f.Passing.Methods, Options: f.Passing.Options, LogCalls: f.Log.Calls}
+		RefuseWith: f.Calls.RefuseWith, Pass: f.Passing.Methods, Options: f.Passing.Options, LogCalls: f.Log.Calls, LogLevel: f.Log.NodeLevel()}
 	if f.Pool.ListServer != "" {
 		c.ListServer.Addr = addr(f.Pool.ListServer)
 		if f.Pool.Transport == "tcp" {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -148,15 +148,7 @@
 // what is waiting.
 func Logger(f config.Log, out io.Writer) (log *slog.Logger, flush func()) {
 	w := newGather(out, 50*time.Millisecond)
-	opt := &slog.HandlerOptions{}
-	switch f.Level {
-	case "debug":
-		opt.Level = slog.LevelDebug
-	case "warn":
-		opt.Level = slog.LevelWarn
-	case "error":
-		opt.Level = slog.LevelError
-	}
+	opt := &slog.HandlerOptions{Level: slog.Level(f.NodeLevel())}
 	if f.Format == "text" {
 		return slog.New(slog.NewTextHandler(w, opt)), w.Flush
 	}
--- a/internal/daemon/serve_test.go
+++ b/internal/daemon/serve_test.go
@@ -90,6 +90,8 @@
 [pool]
 file = %q
 file_every = "50ms"
+[log]
+level = "debug"
 [calls]
 stop_wait = %q
 [[class]]
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -41,6 +41,7 @@
 	Cached      []pool.Server // the list as an earlier life of the node knew it
 	Journal     bool          // notes of each call's state, for whoever keeps them
 	LogCalls    bool          // a record at the end of each call
+	LogLevel    Level         // records below it are not made
 }
 
 // DefaultPass and DefaultOptions are what is passed on where the configuration says nothing.
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -37,7 +37,13 @@
 	Skipped uint64 // lines of this kind left out since the last
 }
 
-func (n *Node) log(r Record) { n.out = append(n.out, actor.Effect{Note: &r}) }
+// log hands a record out, if anybody wants its level: most calls write none but their last.
+func (n *Node) log(r Record) {
+	if r.Level >= n.cfg.LogLevel {
+		kept := r
+		n.out = append(n.out, actor.Effect{Note: &kept})
+	}
+}
 
 // limiter lets one line through in a while and counts the others.
 type limiter struct {
