--- a/internal/daemon/snmp.go
+++ b/internal/daemon/snmp.go
@@ -31,7 +31,10 @@
 )
 
 // snmpEvery is how old a snapshot may be: requests, however many, cost the node one in this time.
-const snmpEvery = 250 * time.Millisecond
+const (
+	snmpEvery = 250 * time.Millisecond
+	snmpWait  = 100 * time.Millisecond // for the loop to take one
+)
 
 // SNMP is the agent's shell: its socket, its snapshots of the node, its notifications. The node's loop does no more
 // for it than copy its figures now and then.
@@ -44,9 +47,10 @@
 	log     *slog.Logger
 	boot    time.Time
 	began   time.Duration // node's clock at boot
-	latest  atomic.Pointer[node.Snapshot]
+	latest  *node.Snapshot
 	asked   time.Time
-	served  *node.Snapshot
+	served  *node.Snapshot // what the agent answers from
+	looked  *node.Snapshot // what the notifications were decided on last
 	views   uint64
 	sent    atomic.Uint64
 	lost    atomic.Uint64
@@ -178,8 +182,11 @@
 	defer s.conn.Close()
 	s.loop.Call(func(now time.Duration) {
 		s.began = now
-		s.latest.Store(s.node.Snapshot(now))
+		s.latest = s.node.Snapshot(now)
 	})
+	if s.latest == nil {
+		return // the loop has ended
+	}
 	for _, t := range s.cfg.SNMP.Target {
 		q := make(chan gosnmp.SnmpTrap, 64)
 		s.queues = append(s.queues, q)
@@ -189,11 +196,9 @@
 	decide := notify.New(notify.Settings{Settle: time.Duration(n.Settle), Window: time.Duration(n.Window), MinGap: time.Duration(n.MinGap),
 		ListAfter: time.Duration(n.ListAfter), Enter: n.Enter, Leave: n.Leave, AtLeast: notify.Defaults.AtLeast})
 	buf := make([]byte, 65536)
-	var looked time.Time
 	for ctx.Err() == nil {
-		s.refresh(decide)
-		if len(s.queues) > 0 && time.Since(looked) >= snmpEvery {
-			looked = time.Now()
+		if len(s.queues) > 0 {
+			s.refresh()
 			s.notify(decide)
 		}
 		_ = s.conn.SetReadDeadline(time.Now().Add(snmpEvery))
@@ -204,25 +209,34 @@
 			}
 			continue // the time to look, or an ICMP error of an earlier answer
 		}
+		s.refresh() // only when somebody asks: an agent that nobody uses costs the node nothing
+		if s.latest != s.served {
+			s.served = s.latest
+			s.agent.Serve(s.snapshot(s.latest, decide))
+		}
 		if out := s.agent.Handle(time.Since(s.boot), from.Addr().Unmap(), buf[:k]); out != nil {
 			_, _ = s.conn.WriteToUDPAddrPort(out, from) // a manager that is gone asks again, or not
 		}
 	}
 }
 
-// refresh asks the loop for a snapshot now and then, never waiting for it, and serves the latest.
-func (s *SNMP) refresh(d *notify.Decider) {
-	if time.Since(s.asked) >= snmpEvery {
-		select {
-		case s.loop.calls <- func(now time.Duration) { s.latest.Store(s.node.Snapshot(now)) }:
-			s.asked = time.Now()
-		default: // the loop has other work
-		}
+// refresh gets a snapshot that is no older than snmpEvery. The node's loop takes it in a turn of its own when it can; the
+// agent waits a little, and serves the one before where the loop has other work.
+func (s *SNMP) refresh() {
+	if time.Since(s.asked) < snmpEvery {
+		return
+	}
+	taken := make(chan *node.Snapshot, 1)
+	select {
+	case s.loop.calls <- func(now time.Duration) { taken <- s.node.Snapshot(now) }:
+	default:
+		return
 	}
-	if snap := s.latest.Load(); snap != nil && snap != s.served {
-		s.served = snap
+	s.asked = time.Now()
+	select {
+	case s.latest = <-taken:
 		s.views++
-		s.agent.Serve(s.snapshot(snap, d))
+	case <-time.After(snmpWait):
 	}
 }
 
@@ -260,10 +274,11 @@
 
 // notify hands what is due to every target's queue. A manager that is stuck fills its own queue and no other.
 func (s *SNMP) notify(d *notify.Decider) {
-	snap := s.served
-	if snap == nil {
+	snap := s.latest
+	if snap == s.looked {
 		return
 	}
+	s.looked = snap
 	seen := notify.Seen{Servers: map[uint32]notify.State{}, ListLost: snap.List == node.ListLost}
 	rows := map[uint32]node.ServerSnapshot{}
 	for _, v := range snap.Servers {
--- a/internal/store/guard_test.go
+++ b/internal/store/guard_test.go
@@ -35,18 +35,21 @@
 	}
 }
 
+// alike is a disk that differs from others made so in its keys and values only.
+func alike(t *testing.T, key string) *vfs.Sim {
+	t.Helper()
+	disk := vfs.NewSim()
+	s, _ := open(t, disk, Options{Manual: true, SegmentSize: 200, Now: func() time.Time { return time.Unix(5, 0) }})
+	for i := range 6 {
+		put(t, s, fmt.Sprint(key, i), strings.Repeat(key, 30))
+	}
+	s.Close()
+	return disk
+}
+
 // Hints of another file, however alike, are not believed.
 func TestForeignHints(t *testing.T) {
-	build := func(key string) *vfs.Sim {
-		disk := vfs.NewSim()
-		s, _ := open(t, disk, Options{Manual: true, SegmentSize: 200, Now: func() time.Time { return time.Unix(5, 0) }})
-		for i := range 6 {
-			put(t, s, fmt.Sprint(key, i), strings.Repeat(key, 30))
-		}
-		s.Close()
-		return disk
-	}
-	a, b := build("a"), build("b")
+	a, b := alike(t, "a"), alike(t, "b")
 	var hint []byte
 	a.Change(hintName(1), func(h []byte) []byte { hint = h; return h })
 	b.Change(hintName(1), func([]byte) []byte { return hint })
@@ -58,6 +61,20 @@
 	}
 }
 
+// Entries that check, under a footer that another file was sealed with, are not what was sealed.
+func TestForeignFooter(t *testing.T) {
+	a, b := alike(t, "a"), alike(t, "b")
+	var foot []byte
+	a.Change(segName(1), func(f []byte) []byte { foot = f[len(f)-footerSize:]; return f })
+	b.Change(segName(1), func(f []byte) []byte { return append(f[:len(f)-footerSize], foot...) })
+	_ = b.Remove(hintName(1))
+	s, rec := open(t, b, Options{Manual: true})
+	defer s.Close()
+	if len(rec.Damage) != 1 || rec.Damage[0].File != segName(1) {
+		t.Errorf("%v", rec.Damage)
+	}
+}
+
 // A file that a compaction replaced brings nothing back, should it turn up again.
 func TestSupersededFile(t *testing.T) {
 	disk := vfs.NewSim()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -303,7 +303,7 @@
 		var buf []byte
 		var done []placed
 		seg := s.active
-		sync := s.dirty && (len(list) == 0 || time.Since(s.dirtyAt) >= s.opt.SyncEvery)
+		sync := s.dirty && time.Since(s.dirtyAt) >= s.opt.SyncEvery // as the timer that was set then says
 		seal, force := false, false
 		for len(list) > 0 {
 			r := list[0]
