Tests: mapping of answers, reports, classes, fall-backs; writes during a compaction

Need: each of these could be taken out or turned round without a test that failed. Change: tables and scripts for them; compaction with writes between its copy and its end, half-made files, damaged segments.

--- /dev/null
+++ b/internal/node/mapping_test.go
@@ -0,0 +1,164 @@
+package node
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"larkrouter"
+	"larkrouter/internal/sip"
+)
+
+// What a server answers, and what the module is told of it.
+func TestAnswersToOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		status  int
+		retry   string
+		outcome larkrouter.Outcome
+		full    bool
+		wait    time.Duration
+	}{
+		{503, "", larkrouter.TurnedAway, true, 0},
+		{503, "4", larkrouter.TurnedAway, true, 4 * time.Second},
+		{500, "", larkrouter.Failed, false, 0},
+		{500, "2;duration=9", larkrouter.TurnedAway, true, 2 * time.Second},
+		{480, "", larkrouter.Failed, false, 0},
+		{480, "1 (later)", larkrouter.TurnedAway, true, time.Second},
+		{486, "3", larkrouter.Failed, false, 0},
+		{404, "", larkrouter.Failed, false, 0},
+		{600, "", larkrouter.Failed, false, 0},
+		{302, "", larkrouter.Failed, false, 0},
+	} {
+		s := newScript(t, nil)
+		s.in(callerPeer, invite("a"))
+		out := s.want(sip.INVITE)
+		r := reply(out.Send, c.status)
+		if c.retry != "" {
+			r.Add("Retry-After", c.retry)
+		}
+		s.in(out.To, r)
+		if want := fmt.Sprintf("over 1/0 outcome %d full %v wait %v", c.outcome, c.full, c.wait); s.toldOf(want) != 1 {
+			t.Errorf("%d, Retry-After %q: told %q, want %s", c.status, c.retry, s.told, want)
+		}
+	}
+}
+
+// A server's report reaches the module from wherever it stands: the answer to INVITE or BYE, a refusal, a BYE.
+func TestReports(t *testing.T) {
+	with := func(m *sip.Message) *sip.Message {
+		m.Add(sip.LatencyHeader, "12.5")
+		return m
+	}
+	const want = "report [1000 1000 12.5 -1 -1] of server"
+	s := newScript(t, nil)
+	inv := invite("a")
+	s.in(callerPeer, inv)
+	out := s.want(sip.INVITE)
+	s.in(out.To, with(reply(out.Send, 503)))
+	if s.toldOf(want) != 1 {
+		t.Errorf("a refusal: told %q", s.told)
+	}
+	s.run(500 * time.Millisecond)
+	out = s.want(sip.INVITE)
+	s.in(out.To, with(reply(out.Send, 200)))
+	up := s.want("200").Send
+	if s.toldOf(want) != 2 {
+		t.Errorf("a 200: told %q", s.told)
+	}
+	s.in(callerPeer, inside(sip.ACK, inv, up, 1), inside(sip.BYE, inv, up, 2))
+	s.in(out.To, with(reply(s.want(sip.BYE).Send, 200)))
+	if s.toldOf(want) != 3 || s.toldOf("over 1/1 outcome 0") != 1 {
+		t.Errorf("a 200 to BYE: told %q", s.told)
+	}
+	s = newScript(t, nil)
+	_, _, out2, down, server := s.standing("b")
+	s.in(server, with(back(sip.BYE, out2, down, 1)))
+	if s.toldOf(want) != 1 {
+		t.Errorf("a BYE: told %q", s.told)
+	}
+	s = newScript(t, nil) // RFC 7339 and RFC 7415
+	for i, via := range []string{";oc=20;oc-algo=\"loss\"", ";oc=150;oc-algo=\"rate\""} {
+		s.in(callerPeer, invite(fmt.Sprint("c", i)))
+		out := s.want(sip.INVITE)
+		r := reply(out.Send, 200)
+		r.Set("Via", r.Get("Via")+via)
+		s.in(out.To, r)
+	}
+	if s.toldOf("report [1000 1000 -1 0.2 -1]") != 1 || s.toldOf("report [1000 1000 -1 -1 150]") != 1 {
+		t.Errorf("told %q", s.told)
+	}
+}
+
+// How the class of an INVITE is found: the first that fits, by number, field or priority; the one without marks last.
+func TestClasses(t *testing.T) {
+	cfg := Config{Classes: []Class{{}, {Prefixes: []string{"2", "+47"}}, {Header: "X-Kind: Urgent"}, {Priorities: []string{"esnet.0"}}, {Prefixes: []string{"22"}}}}
+	for _, c := range []struct {
+		number, field, value string
+		want                 int
+	}{
+		{"100", "", "", 0}, {"200", "", "", 1}, {"+4712", "", "", 1}, {"220", "", "", 1},
+		{"100", "X-Kind", "urgent", 2}, {"100", "X-Kind", "slow", 0}, {"100", "Resource-Priority", "dsn.flash, ESNET.0", 3}, {"100", "Resource-Priority", "esnet.1", 0},
+	} {
+		m := invite("a")
+		if c.field != "" {
+			m.Add(c.field, c.value)
+		}
+		if got := cfg.classify(m, c.number); got != c.want {
+			t.Errorf("%+v: class %d", c, got)
+		}
+	}
+	cfg.Classes = cfg.Classes[1:]
+	if got := cfg.classify(invite("a"), "100"); got != -1 {
+		t.Errorf("no class fits: %d", got)
+	}
+}
+
+// A request inside a dialog that is too large for a datagram falls back as an INVITE does, and its CANCEL is for the
+// copy that went out.
+func TestLargeReinviteFallsBack(t *testing.T) {
+	s := newScript(t, nil)
+	inv, up, _, _, _ := s.standing("a")
+	re := inside(sip.INVITE, inv, up, 2)
+	re.Body = []byte(strings.Repeat("a=pad\r\n", 250))
+	s.in(callerPeer, re)
+	first := s.want(sip.INVITE)
+	s.n.Lost(s.now, first.To, sip.ErrRefused)
+	s.take()
+	second := s.want(sip.INVITE)
+	if first.To.Transport != sip.TCP || second.To.Transport != sip.UDP {
+		t.Fatalf("to %v, then %v", first.To, second.To)
+	}
+	s.in(second.To, reply(second.Send, 100))
+	c := sip.NewRequest(sip.CANCEL, re.URI, re.Get("From"), re.Get("To"), re.Get("Call-ID"), 2, 70)
+	c.Push("Via", re.Get("Via"))
+	s.in(callerPeer, c)
+	if e := s.want(sip.CANCEL); e.Send.Branch() != second.Send.Branch() || e.To != second.To {
+		t.Errorf("CANCEL of %s to %v", e.Send.Branch(), e.To)
+	}
+}
+
+// A caller's connection is gone when the server hangs up: its BYE goes to the address in its Contact.
+func TestByeAfterLostConnection(t *testing.T) {
+	s := newScript(t, nil)
+	inv := invite("a")
+	inv.Set("Via", "SIP/2.0/TCP 127.0.0.1:5070;branch=z9hG4bKtcp")
+	inv.Set("Contact", "<sip:127.0.0.1:5070;transport=tcp>")
+	s.in(callerTCP, inv)
+	out := s.want(sip.INVITE)
+	down := reply(out.Send, 200)
+	s.in(out.To, down)
+	s.in(callerTCP, inside(sip.ACK, inv, s.want("200").Send, 1))
+	s.in(out.To, back(sip.BYE, out.Send, down, 1))
+	bye := s.want(sip.BYE)
+	if bye.To != callerTCP {
+		t.Fatalf("BYE to %v", bye.To)
+	}
+	s.n.Lost(s.now, callerTCP, fmt.Errorf("gone: %w", sip.ErrRefused))
+	s.take()
+	again := s.want(sip.BYE)
+	if want := (sip.Peer{Transport: sip.TCP, Addr: netip.MustParseAddrPort("127.0.0.1:5070")}); again.To != want {
+		t.Errorf("BYE to %v", again.To)
+	}
+}
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -34,10 +34,15 @@
 	case larkrouter.Timer:
 	case larkrouter.AttemptOver:
 		d.s.told = append(d.s.told, fmt.Sprintf("over %d/%d outcome %d full %v wait %v ended %v", ev.Call, ev.Attempt, ev.Outcome, ev.Full, ev.Wait, ev.Ended))
+		if ev.Report != nil {
+			d.s.told = append(d.s.told, fmt.Sprintf("report %v of server %d", ev.Report, ev.Server))
+		}
 	case larkrouter.Call:
 		d.s.told = append(d.s.told, fmt.Sprintf("call %d left %v again %v", ev.ID, ev.Left, ev.DialedAgain))
 	case larkrouter.Standing:
 		d.s.told = append(d.s.told, fmt.Sprintf("standing %d/%d", ev.Call, ev.Attempt))
+	case larkrouter.Probed:
+		d.s.told = append(d.s.told, fmt.Sprintf("report %v of server %d", ev.Report, ev.Server))
 	case larkrouter.CallGone:
 		d.s.told = append(d.s.told, fmt.Sprintf("gone %d", ev.Call))
 	case larkrouter.ServerList:
--- a/internal/sip/transport/stack_test.go
+++ b/internal/sip/transport/stack_test.go
@@ -86,6 +86,17 @@
 	}
 }
 
+// A refusal that does not say whose it was proves of no message that it never ran.
+func TestRefusalWithoutBranch(t *testing.T) {
+	ch := make(chan []Event, 2)
+	s := &Stack{events: ch, done: make(chan struct{})}
+	s.refused([]failedSend{{any, ""}, {any, "z9hG4bKa"}})
+	unknown, known := (<-ch)[0].Lost, (<-ch)[0].Lost
+	if errors.Is(unknown, sip.ErrRefused) || !errors.Is(unknown, sip.ErrLost) || !errors.Is(known, sip.ErrRefused) {
+		t.Errorf("%v, %v", unknown, known)
+	}
+}
+
 // One connection serves both ways; what is sent on it comes in order.
 func TestConnectionReuse(t *testing.T) {
 	a, back := listen(t, Config{TCP: any})
--- a/internal/store/guard_test.go
+++ b/internal/store/guard_test.go
@@ -212,3 +212,112 @@
 		s.Close()
 	}
 }
+
+// hooked is a file system that does something when a file is created.
+type hooked struct {
+	vfs.FS
+	create func(name string)
+}
+
+func (h *hooked) Create(name string) (vfs.File, error) {
+	h.create(name)
+	return h.FS.Create(name)
+}
+
+// What is written while a compaction copies stays: the copy of an older value does not take its place. And a manifest
+// written meanwhile promises nothing that is not on the disk.
+func TestWritesDuringCompaction(t *testing.T) {
+	disk := vfs.NewSim()
+	fs := &hooked{FS: disk, create: func(string) {}}
+	s, _ := open(t, fs, Options{Manual: true, FlushEvery: time.Hour})
+	for i := range 5 {
+		put(t, s, fmt.Sprint("k", i), "old")
+	}
+	step := 0
+	fs.create = func(name string) {
+		if strings.HasSuffix(name, ".log") {
+			if step++; step == 2 { // the first is the next active segment
+				var b WriteBatch
+				b.Put("c", "k1", []byte("new"))
+				b.Delete("c", "k2")
+				if _, err := s.Write(bg, &b, Batch); err != nil {
+					t.Error(err)
+				}
+			}
+		}
+	}
+	if err := s.Compact(bg); err != nil || step != 2 {
+		t.Fatal(step, err)
+	}
+	want := map[string]string{"c/k0": "old", "c/k1": "new", "c/k3": "old", "c/k4": "old"}
+	if got, _ := all(t, s); !maps.Equal(got, want) {
+		t.Errorf("%v", got)
+	}
+	lost := false
+	for seed := range uint64(20) { // the machine goes down before what is only with the system was synced
+		c, rec := open(t, disk.Restart(rand.New(rand.NewPCG(seed, 3))), Options{Manual: true})
+		got, _ := all(t, c)
+		if got["c/k1"] == "old" {
+			lost = true
+			if len(rec.Damage) != 0 {
+				t.Errorf("damage is told where nothing that was promised is lost: %v", rec.Damage)
+			}
+		}
+		c.Close()
+	}
+	if !lost {
+		t.Error("no seed lost what was not synced")
+	}
+	s.Close()
+}
+
+// A compaction's file without its end does not take the place of what it was to replace.
+func TestHalfCompaction(t *testing.T) {
+	disk := vfs.NewSim()
+	s, _ := open(t, disk, Options{Manual: true, SegmentSize: 100})
+	for i := range 5 {
+		put(t, s, fmt.Sprint("k", i), "value")
+	}
+	id, top := s.nextID, s.active.id-1
+	s.Close()
+	f, err := disk.Create(segName(id))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := appendHeader(nil, id, top, 1)
+	_, _ = f.Write(appendFrame(b, id, int64(len(b)), 1, []op{{kind: opPut, coll: "c", key: "k0", value: []byte("value")}}))
+	s, rec := open(t, disk, Options{Manual: true})
+	defer s.Close()
+	if got, _ := all(t, s); len(got) != 5 || len(rec.Removed) != 1 {
+		t.Errorf("%v, removed %v", got, rec.Removed)
+	}
+}
+
+// Damaged segments are kept as they are: a compaction would lose what may yet be read of them.
+func TestDamagedSegmentsAreNotCompacted(t *testing.T) {
+	for _, what := range []string{"an entry", "the end"} {
+		disk := vfs.NewSim()
+		s, _ := open(t, disk, Options{Manual: true, SegmentSize: 120})
+		for i := range 8 {
+			put(t, s, fmt.Sprint("k", i), "value")
+		}
+		s.Close()
+		disk.Change(segName(1), func(b []byte) []byte {
+			if what == "the end" {
+				return b[:len(b)-footerSize]
+			}
+			b[headerSize+frameHead+4] ^= 1
+			return b
+		})
+		_ = disk.Remove(hintName(1))
+		s, rec := open(t, disk, Options{Manual: true})
+		before, _ := all(t, s)
+		if err := s.Compact(bg); err == nil || len(rec.Damage) == 0 {
+			t.Errorf("%s damaged: compacted, damage %v", what, rec.Damage)
+		}
+		if after, _ := all(t, s); !maps.Equal(before, after) {
+			t.Errorf("%s damaged: %v before, %v after", what, before, after)
+		}
+		s.Close()
+	}
+}
