A standing call lets go of its ACK after 32 s; demo and fleet share their classes

Need: the ACK of the set-up was held for the whole call, to answer repeats that come for 32 s at most. Change: it goes with the call's identity; node and rules' classes are made in one place; the node's benchmarks share their call.

--- a/internal/demo/day.go
+++ b/internal/demo/day.go
@@ -116,6 +116,23 @@
 	return d, stage.Boot(Party{Name: "callers", Kind: "caller", Addr: callersAt, Act: d.Callers})
 }
 
+// NodeClasses are the callers' classes as a node has them: the module's part and its own.
+func NodeClasses(classes []standin.CallerClass) (module []larkrouter.Class, own []node.Class) {
+	for _, c := range classes {
+		module = append(module, larkrouter.Class{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline, Worth: c.Worth, LateShare: c.Late})
+		own = append(own, node.Class{Prefixes: []string{c.Prefix}, Try: c.Try})
+	}
+	return module, own
+}
+
+// Tries are the callers' classes as the rules have them.
+func Tries(classes []standin.CallerClass) (tries []rules.Try) {
+	for _, c := range classes {
+		tries = append(tries, rules.Try{Prefix: c.Prefix, Wait: c.Try})
+	}
+	return tries
+}
+
 func (d *Day) ramp() time.Duration { return d.opt.Length / 7 }
 
 func (d *Day) entry(i int, phase string) pool.Server {
@@ -129,11 +146,7 @@
 		MarksRedials: true, RetryAfter: true, MaxRetryAfter: 2 * time.Second}
 	cfg := node.Config{Seed: d.opt.Seed, ListServer: sip.Peer{Addr: list}, ListExpires: 20 * time.Second,
 		Addresses: [2]netip.AddrPort{at, at}, MaxCalls: 20000, LogCalls: true}
-	for _, c := range callerClasses {
-		d.settings.Classes = append(d.settings.Classes, larkrouter.Class{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline,
-			Worth: c.Worth, LateShare: c.Late})
-		cfg.Classes = append(cfg.Classes, node.Class{Prefixes: []string{c.Prefix}, Try: c.Try})
-	}
+	d.settings.Classes, cfg.Classes = NodeClasses(callerClasses)
 	cfg.Settings = d.settings
 	return cfg
 }
@@ -143,9 +156,7 @@
 	f := rules.Figures{AnswerSlack: answer, ReleaseGuard: d.settings.ReleaseGuard, DrainGrace: 500 * time.Millisecond,
 		ColdShare: d.settings.ColdShare, RampTime: d.settings.RampTime, TipMultiple: d.settings.TipMultiple,
 		OverloadFor: d.settings.OverloadFor, Capacity: map[string]float64{}, Slack: slack}
-	for _, c := range callerClasses {
-		f.Tries = append(f.Tries, rules.Try{Prefix: c.Prefix, Wait: c.Try})
-	}
+	f.Tries = Tries(callerClasses)
 	for _, c := range d.cfg {
 		f.Capacity[c.Address.String()] = c.Capacity()
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -100,9 +100,7 @@
 	capacity := opt.Rate / float64(opt.Servers) / opt.Load
 	figures := rules.Figures{AnswerSlack: 20 * time.Millisecond, ReleaseGuard: guard, DrainGrace: grace, ColdShare: cold, RampTime: ramp,
 		TipMultiple: tip, OverloadFor: overload, Capacity: map[string]float64{}, Slack: 20 * time.Millisecond}
-	for _, c := range classes {
-		figures.Tries = append(figures.Tries, rules.Try{Prefix: c.Prefix, Wait: c.Try})
-	}
+	figures.Tries = demo.Tries(classes)
 	for i := range opt.Servers {
 		at, _ := f.stage.Address("")
 		whole := float64(time.Second) / capacity
@@ -182,10 +180,7 @@
 		RetryAfter: true, MaxRetryAfter: 2 * time.Second}
 	cfg := node.Config{Seed: f.opt.Seed + 1_000_000 + uint64(i)*1000 + f.lives[i], ListServer: sip.Peer{Addr: f.listAt, Transport: f.listBy()}, ListExpires: 15 * time.Second,
 		Addresses: [2]netip.AddrPort{f.nodeAt[i], f.nodeAt[i]}, MaxCalls: 20000}
-	for _, c := range classes {
-		set.Classes = append(set.Classes, larkrouter.Class{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline, Worth: c.Worth, LateShare: c.Late})
-		cfg.Classes = append(cfg.Classes, node.Class{Prefixes: []string{c.Prefix}, Try: c.Try})
-	}
+	set.Classes, cfg.Classes = demo.NodeClasses(classes)
 	cfg.Settings = set
 	n, err := node.New(cfg)
 	if err != nil {
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -24,133 +24,98 @@
 		Servers: []pool.Server{{ID: 1, Number: 0, Address: "127.0.0.1:5081"}, {ID: 2, Number: 1, Address: "127.0.0.1:5082"}}}
 }
 
-// BenchmarkCall is a whole call through the core and the codec, both legs, without sockets: INVITE, 100, 200, ACK, BYE.
-func BenchmarkCall(b *testing.B) {
+// benchNode hands messages to a node as bytes and finds its answers among what it sends.
+type benchNode struct {
+	*Node
+	b    *testing.B
+	now  time.Duration
+	buf  []byte
+	sent []actor.Effect
+}
+
+func newBenchNode(b *testing.B) *benchNode {
 	n, err := New(testConfig())
 	if err != nil {
 		b.Fatal(err)
 	}
-	now := time.Second
-	n.Start(now)
-	caller := sip.Peer{Addr: netip.MustParseAddrPort("127.0.0.1:5070")}
-	buf := make([]byte, 0, 4096)
-	var sent []*sip.Message
-	var to []sip.Peer
-	turn := func(from sip.Peer, m *sip.Message) {
-		if m != nil {
-			buf = m.Append(buf[:0])
-			p, err := sip.Parse(buf, sip.Limits{})
-			n.Receive(now, sip.Packet{Peer: from, Msg: p, Err: err})
+	s := &benchNode{Node: n, b: b, now: time.Second}
+	n.Start(s.now)
+	return s
+}
+
+func (s *benchNode) turn(from sip.Peer, m *sip.Message) {
+	s.buf = m.Append(s.buf[:0])
+	p, err := sip.Parse(s.buf, sip.Limits{})
+	s.Receive(s.now, sip.Packet{Peer: from, Msg: p, Err: err})
+	s.Advance(s.now)
+	s.sent = s.sent[:0]
+	s.Take(func(e actor.Effect) {
+		if e.Send != nil {
+			s.buf = e.Send.Append(s.buf[:0]) // as it would go out
+			s.sent = append(s.sent, e)
 		}
-		n.Advance(now)
-		sent, to = sent[:0], to[:0]
-		n.Take(func(e actor.Effect) {
-			if e.Send != nil {
-				buf = e.Send.Append(buf[:0])
-				sent, to = append(sent, e.Send), append(to, e.To)
-			}
-		})
-	}
-	find := func(method string, status int) (*sip.Message, sip.Peer) {
-		for i, m := range sent {
-			if m.Method == method && m.Status == status {
-				return m, to[i]
-			}
+	})
+}
+
+func (s *benchNode) find(method string, status int) actor.Effect {
+	for _, e := range s.sent {
+		if e.Send.Method == method && e.Send.Status == status {
+			return e
 		}
-		b.Fatalf("no %s %d among %d messages", method, status, len(sent))
-		return nil, sip.Peer{}
 	}
+	s.b.Fatalf("no %s %d among %d messages", method, status, len(s.sent))
+	return actor.Effect{}
+}
+
+// stand sets the i-th call up, ACK included.
+func (s *benchNode) stand(i int) (inv, up *sip.Message) {
+	inv = invite(strconv.Itoa(i))
+	s.turn(callerPeer, inv)
+	out := s.find(sip.INVITE, 0)
+	s.turn(out.To, sip.NewResponse(out.Send, 100, "", ""))
+	s.turn(out.To, reply(out.Send, 200))
+	up = s.find("", 200).Send
+	s.turn(callerPeer, inside(sip.ACK, inv, up, 1))
+	return inv, up
+}
+
+// BenchmarkCall is a whole call through the core and the codec, both legs, without sockets: INVITE, 100, 200, ACK, BYE.
+// The messages of the test's own side are part of it.
+func BenchmarkCall(b *testing.B) {
+	s := newBenchNode(b)
 	b.ReportAllocs()
-	i := 0
-	for b.Loop() {
-		i++
-		now += 4 * time.Millisecond
-		id := strconv.Itoa(i)
-		m := sip.NewRequest(sip.INVITE, "sip:100@127.0.0.1:5060", "<sip:7"+id+"@127.0.0.1:5070>;tag=f"+id, "<sip:100@127.0.0.1:5060>", "c"+id, 1, 70)
-		m.Add("Contact", "<sip:127.0.0.1:5070>")
-		m.Push("Via", "SIP/2.0/UDP 127.0.0.1:5070;rport;branch=z9hG4bK"+id)
-		m.Body = []byte("v=0\r\n")
-		turn(caller, m)
-		out, server := find(sip.INVITE, 0)
-		turn(server, sip.NewResponse(out, 100, "", ""))
-		ok := sip.NewResponse(out, 200, "", "s"+id)
-		ok.Add("Contact", "<sip:"+server.Addr.String()+">")
-		turn(server, ok)
-		up, _ := find("", 200)
-		ack := sip.NewRequest(sip.ACK, "sip:127.0.0.1:5060", m.Get("From"), up.Get("To"), "c"+id, 1, 70)
-		ack.Push("Via", "SIP/2.0/UDP 127.0.0.1:5070;rport;branch=z9hG4bKa"+id)
-		turn(caller, ack)
-		bye := sip.NewRequest(sip.BYE, "sip:127.0.0.1:5060", m.Get("From"), up.Get("To"), "c"+id, 2, 70)
-		bye.Push("Via", "SIP/2.0/UDP 127.0.0.1:5070;rport;branch=z9hG4bKb"+id)
-		turn(caller, bye)
-		out, server = find(sip.BYE, 0)
-		turn(server, sip.NewResponse(out, 200, "", ""))
+	for i := 0; b.Loop(); i++ {
+		s.now += 4 * time.Millisecond
+		inv, up := s.stand(i)
+		s.turn(callerPeer, inside(sip.BYE, inv, up, 2))
+		bye := s.find(sip.BYE, 0)
+		s.turn(bye.To, sip.NewResponse(bye.Send, 200, "", ""))
 	}
 }
 
 // BenchmarkStanding tells the memory of a standing call, just set up and once its transactions have ended.
 func BenchmarkStanding(b *testing.B) {
 	const calls = 10000
+	heap := func() float64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
 	for b.Loop() {
-		n, err := New(testConfig())
-		if err != nil {
-			b.Fatal(err)
-		}
-		now := time.Second
-		n.Start(now)
-		caller := sip.Peer{Addr: netip.MustParseAddrPort("127.0.0.1:5070")}
-		heap := func() uint64 {
-			var m runtime.MemStats
-			runtime.GC()
-			runtime.ReadMemStats(&m)
-			return m.HeapAlloc
-		}
+		s := newBenchNode(b)
 		before := heap()
-		var sent []actor.Effect
-		turn := func(from sip.Peer, m *sip.Message) {
-			p, err := sip.Parse(m.Bytes(), sip.Limits{})
-			n.Receive(now, sip.Packet{Peer: from, Msg: p, Err: err})
-			n.Advance(now)
-			sent = sent[:0]
-			n.Take(func(e actor.Effect) {
-				if e.Send != nil {
-					sent = append(sent, e)
-				}
-			})
-		}
-		find := func(method string, status int) actor.Effect {
-			for _, e := range sent {
-				if e.Send.Method == method && e.Send.Status == status {
-					return e
-				}
-			}
-			b.Fatalf("no %s %d", method, status)
-			return actor.Effect{}
-		}
 		for i := range calls {
-			now += time.Millisecond
-			id := strconv.Itoa(i)
-			m := sip.NewRequest(sip.INVITE, "sip:100@127.0.0.1:5060", "<sip:7"+id+"@127.0.0.1:5070>;tag=f"+id, "<sip:100@127.0.0.1:5060>", "c"+id, 1, 70)
-			m.Add("Contact", "<sip:127.0.0.1:5070>")
-			m.Push("Via", "SIP/2.0/UDP 127.0.0.1:5070;rport;branch=z9hG4bK"+id)
-			m.Body = []byte("v=0\r\n")
-			turn(caller, m)
-			out := find(sip.INVITE, 0)
-			ok := sip.NewResponse(out.Send, 200, "", "s"+id)
-			ok.Add("Contact", "<sip:"+out.To.Addr.String()+">")
-			turn(out.To, ok)
-			up := find("", 200)
-			ack := sip.NewRequest(sip.ACK, "sip:127.0.0.1:5060", m.Get("From"), up.Send.Get("To"), "c"+id, 1, 70)
-			ack.Push("Via", "SIP/2.0/UDP 127.0.0.1:5070;rport;branch=z9hG4bKa"+id)
-			turn(caller, ack)
+			s.now += time.Millisecond
+			s.stand(i)
 		}
 		fresh := heap()
-		for end := now + 40*time.Second; now < end; now += 100 * time.Millisecond {
-			n.Advance(now)
-			n.Take(func(actor.Effect) {})
+		for end := s.now + 40*time.Second; s.now < end; s.now += 100 * time.Millisecond {
+			s.Advance(s.now)
+			s.Take(func(actor.Effect) {})
 		}
-		b.ReportMetric(float64(fresh-before)/calls, "B/fresh-call")
-		b.ReportMetric(float64(heap()-before)/calls, "B/standing-call")
-		runtime.KeepAlive(n)
+		b.ReportMetric((fresh-before)/calls, "B/fresh-call")
+		b.ReportMetric((heap()-before)/calls, "B/standing-call")
+		runtime.KeepAlive(s)
 	}
 }
--- a/internal/node/invite.go
+++ b/internal/node/invite.go
@@ -336,6 +336,10 @@
 		if n.merged[k.mergeKey] == k {
 			delete(n.merged, k.mergeKey)
 		}
+		k.mergeKey = ""
+		if k.down != nil { // nor will the server repeat its 2xx any more
+			k.down.ack = nil
+		}
 	})
 }
 
