--- a/internal/daemon/snmp_test.go
+++ b/internal/daemon/snmp_test.go
@@ -259,3 +259,36 @@
 		t.Error(err)
 	}
 }
+
+// The same over v3, as traps of this engine and as informs to the manager's, which is discovered.
+func TestNotificationsV3(t *testing.T) {
+	for _, inform := range []bool{false, true} {
+		var closed atomic.Int32
+		listener := gosnmp.NewTrapListener()
+		u := ClientUser("ops", "sha256", "authentic pass", "private pass")
+		u.AuthoritativeEngineID = "\x80\x00\x00\x01\x05manager"
+		listener.Params = &gosnmp.GoSNMP{Version: gosnmp.Version3, SecurityModel: gosnmp.UserSecurityModel, MsgFlags: gosnmp.AuthPriv, SecurityParameters: u}
+		listener.OnNewTrap = func(p *gosnmp.SnmpPacket, _ *net.UDPAddr) {
+			if (p.PDUType == gosnmp.InformRequest) != inform {
+				return
+			}
+			for _, v := range p.Variables {
+				if v.Value == "."+mib.NotificationOID(mib.Arc, 1).String() {
+					closed.Add(1)
+				}
+			}
+		}
+		to := freePort(t)
+		go func() { _ = listener.Listen(to.String()) }()
+		<-listener.Listening()
+		text, _ := snmpConfig(t, fmt.Sprintf("[[snmp.target]]\naddress = %q\nuser = \"ops\"\ninform = %v\nretries = 2", to, inform))
+		s := serve(t, 100*time.Millisecond, "1s", text)
+		if err := os.WriteFile(s.file, fmt.Appendf(nil, "[[server]]\nid = 2\nnumber = 1\naddress = %q\n", freePort(t)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s.await(t, "server=2")
+		s.loop.Call(func(time.Duration) { s.callers.Rate(30) })
+		waitFor(t, fmt.Sprintf("a notification, inform %v", inform), func() bool { return closed.Load() > 0 })
+		listener.Close()
+	}
+}
--- a/internal/node/dialog_test.go
+++ b/internal/node/dialog_test.go
@@ -409,6 +409,22 @@
 	}
 }
 
+// A subscription whose refresh nobody answers ends at its time, not when the request is given up.
+func TestSubscriptionExpires(t *testing.T) {
+	list := sip.Peer{Addr: sipAddr("127.0.0.1:5090")}
+	s := newScript(t, func(c *Config) { c.Servers = nil; c.ListServer = list; c.ListExpires = 40 * time.Second })
+	sub := s.want(sip.SUBSCRIBE).Send
+	s.in(list, withExpires(reply(sub, 200), 40))
+	s.run(39 * time.Second)
+	if s.toldOf("list kind 0") != 0 {
+		t.Errorf("too early: told %q", s.told)
+	}
+	s.run(1500 * time.Millisecond)
+	if s.toldOf("list kind 0") != 1 {
+		t.Errorf("told %q", s.told)
+	}
+}
+
 func withExpires(m *sip.Message, secs int) *sip.Message {
 	m.Add("Expires", strconv.Itoa(secs))
 	return m
