--- a/internal/daemon/kill_test.go
+++ b/internal/daemon/kill_test.go
@@ -99,15 +99,25 @@
 		Prefix: "1", Share: 1, Aim: 5 * time.Second, Deadline: 30 * time.Second, Try: 30 * time.Second, Hold: time.Hour, Worth: 1}}})
 	cl.Actor = callers
 	run(cl)
-	const calls = 12
-	for i := range calls {
-		cl.Call(func(time.Duration) { callers.Dial(0) })
-		waitFor(t, "a call to stand", func() bool {
-			n := 0
-			cl.Call(func(time.Duration) { n = int(callers.Counts[0].InAim) })
-			return n == i+1
-		})
+	stand := func(from, to int) {
+		for i := from; i < to; i++ {
+			cl.Call(func(time.Duration) { callers.Dial(0) })
+			waitFor(t, "a call to stand", func() bool {
+				n := 0
+				cl.Call(func(time.Duration) { n = int(callers.Counts[0].InAim) })
+				return n == i+1
+			})
+		}
 	}
+	const ended, calls = 5, 12
+	stand(0, ended) // those that had ended were not cut
+	cl.Call(func(time.Duration) { callers.HangUpAll() })
+	waitFor(t, "calls to end", func() bool {
+		n := uint64(0)
+		srv.Call(func(time.Duration) { n = server.Count.Released })
+		return n == ended
+	})
+	stand(ended, ended+calls)
 	time.Sleep(1500 * time.Millisecond) // the journal is written off the call path, 50 ms late
 	_ = first.Process.Kill()
 	_ = first.Wait()
@@ -118,13 +128,13 @@
 	waitFor(t, "the server to be released", func() bool {
 		left, released := 0, uint64(0)
 		srv.Call(func(time.Duration) { left, released = server.Standing(), server.Count.Released })
-		return left == 0 && released == calls
+		return left == 0 && released == ended+calls
 	})
 	waitFor(t, "new calls to be taken", func() bool {
 		n := uint64(0)
 		cl.Call(func(time.Duration) { callers.Dial(0); n = callers.Counts[0].InAim })
 		time.Sleep(50 * time.Millisecond)
-		return n > calls
+		return n > ended+calls
 	})
 }
 
--- a/internal/daemon/snmp_test.go
+++ b/internal/daemon/snmp_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net"
 	"net/netip"
 	"os"
@@ -13,8 +14,12 @@
 
 	"github.com/gosnmp/gosnmp"
 
+	"larkrouter"
 	"larkrouter/internal/config"
+	"larkrouter/internal/node"
+	"larkrouter/internal/pool"
 	"larkrouter/internal/snmp/mib"
+	"larkrouter/internal/snmp/notify"
 	"larkrouter/internal/standin"
 )
 
@@ -255,6 +260,21 @@
 			t.Errorf("got  %v\nwant %s", err, want)
 		}
 	}
+	// Passphrases from files: read, and refused where others can read them too.
+	pass := filepath.Join(t.TempDir(), "pass")
+	if err := os.WriteFile(pass, []byte("from the file\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	u := config.SNMPUser{Name: "u", Auth: "sha256", AuthFile: pass, PrivPass: "other words"}
+	if auth, priv, err := u.Passphrases(); err != nil || auth != "from the file" || priv != "other words" {
+		t.Errorf("%q %q %v", auth, priv, err)
+	}
+	if err := os.Chmod(pass, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := u.Passphrases(); err == nil || !strings.Contains(err.Error(), "has mode 644") {
+		t.Error(err)
+	}
 	if _, err := config.Parse("n.toml", []byte(base+"[snmp]\nlisten = \"127.0.0.1:161\"\n[[snmp.community]]\nname = \"public\"\n")); err != nil {
 		t.Error(err)
 	}
@@ -292,3 +312,27 @@
 		listener.Close()
 	}
 }
+
+// A manager that takes nothing fills its own queue; what comes then is lost for it, counted, and nobody waits.
+func TestStuckManagersQueue(t *testing.T) {
+	var log lockedBuffer
+	full := make(chan gosnmp.SnmpTrap) // nobody reads
+	free := make(chan gosnmp.SnmpTrap, 1)
+	target := []config.SNMPTarget{{Address: "127.0.0.1:1"}, {Address: "127.0.0.1:2"}}
+	s := &SNMP{cfg: &config.File{SNMP: config.SNMP{Arc: mib.Arc.String(), Target: target}}, log: slog.New(slog.NewTextHandler(&log, nil)),
+		queues: []chan gosnmp.SnmpTrap{full, free}, boot: time.Now(),
+		latest: &node.Snapshot{Servers: []node.ServerSnapshot{{Known: pool.Known{Server: pool.Server{ID: 3}, Phase: larkrouter.Ready}, View: larkrouter.ServerView{State: larkrouter.ServerClosed}}}}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.notify(notify.New(notify.Defaults))
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("a stuck manager holds the agent up")
+	}
+	if len(free) != 1 || s.lost.Load() != 1 || !strings.Contains(log.String(), "notification lost") {
+		t.Errorf("%d sent, %d lost\n%s", len(free), s.lost.Load(), log.String())
+	}
+}
--- a/internal/snmp/agent/agent_test.go
+++ b/internal/snmp/agent/agent_test.go
@@ -96,6 +96,20 @@
 	if r.Vars[0].Value.Tag != ber.TimeTicks || r.Vars[1].Value.Tag != ber.NoObject {
 		t.Errorf("%+v", r)
 	}
+	// A walk of a view passes over what is not in it, and ends with it.
+	at := ber.MustOID("1.3")
+	for range 20 {
+		r = readV2(t, a.Handle(0, home, v2("part", ask(ber.GetNext, 0, 0, at))))
+		if r.Vars[0].Value.Tag == ber.EndOfView {
+			break
+		}
+		if at = r.Vars[0].Name; !part.Sees(at) || !at.Under(ber.MustOID("1.3.6.1.2.1.1")) {
+			t.Errorf("a walk came to %v", at)
+		}
+	}
+	if r.Vars[0].Value.Tag != ber.EndOfView || at.String() != "1.3.6.1.2.1.1.7.0" {
+		t.Errorf("the walk ended at %v with %+v", at, r.Vars)
+	}
 	r = readV2(t, a.Handle(0, home, v2("ro", ask(ber.Set, 0, 0, contact))))
 	if r.Status != ber.NotWritable || r.Index != 1 {
 		t.Errorf("%+v", r)
--- a/internal/snmp/ber/ber_test.go
+++ b/internal/snmp/ber/ber_test.go
@@ -60,6 +60,21 @@
 	}
 }
 
+// A request for more than is ever answered is turned away before it takes memory.
+func TestTooManyVars(t *testing.T) {
+	p := PDU{Type: Get, Vars: make([]Var, maxVars+1)}
+	for i := range p.Vars {
+		p.Vars[i] = Var{MustOID("1.3"), Value{Tag: Null}}
+	}
+	if _, err := ReadPDU(AppendPDU(nil, p)); err == nil {
+		t.Error("read")
+	}
+	p.Vars = p.Vars[1:]
+	if _, err := ReadPDU(AppendPDU(nil, p)); err != nil {
+		t.Error(err)
+	}
+}
+
 func FuzzReadPDU(f *testing.F) {
 	f.Add(AppendPDU(nil, PDU{Type: Get, ID: 1, Vars: []Var{{MustOID("1.3.6.1.2.1.1.1.0"), Value{Tag: Null}}}}))
 	f.Add([]byte{0xa0, 0x84, 0xff, 0xff, 0xff, 0xff})
