--- a/internal/node/storm_test.go
+++ b/internal/node/storm_test.go
@@ -19,7 +19,12 @@
 // left over once all time-outs have passed.
 func TestStorm(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		s := newScript(t, func(c *Config) { c.Alerting = rapid.Bool().Draw(rt, "alerting") })
+		s := newScript(t, func(c *Config) {
+			c.Alerting = rapid.Bool().Draw(rt, "alerting")
+			if rapid.Bool().Draw(rt, "list server") {
+				c.Cached, c.Servers, c.ListServer = c.Servers, nil, sip.Peer{Addr: sipAddr("127.0.0.1:5090")}
+			}
+		})
 		var out []actor.Effect                 // all that the node has sent
 		finals := map[string]map[string]bool{} // by the transaction's branch
 		note := func() {
@@ -53,7 +58,7 @@
 		}
 		calls := 0
 		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
-			switch what := rapid.IntRange(0, 7).Draw(rt, "what"); {
+			switch what := rapid.IntRange(0, 8).Draw(rt, "what"); {
 			case what == 0 || len(out) == 0:
 				calls++
 				m := invite(fmt.Sprint("s", calls))
@@ -88,6 +93,18 @@
 				s.n.Lost(s.now, e.To, rapid.SampledFrom([]error{sip.ErrRefused, sip.ErrLost, &sip.SendError{Branch: e.Send.Branch(), Err: sip.ErrRefused}}).Draw(rt, "error"))
 				s.take()
 				note()
+			case what == 8: // the list server, or somebody who knows its dialog
+				if s.n.sub.state == subNone {
+					continue
+				}
+				m := sip.NewRequest(sip.NOTIFY, "sip:127.0.0.1:5060", "<sip:l@h>;tag=n", "<sip:n@h>;tag="+s.n.sub.tag, s.n.sub.callID, rapid.Uint32Range(1, 9).Draw(rt, "seq"), 70)
+				m.Add("Event", "larkrouter-pool")
+				m.Add("Subscription-State", rapid.SampledFrom([]string{"active;expires=9", "terminated;reason=timeout", "active;expires=99999999999", "pending"}).Draw(rt, "state"))
+				m.Push("Via", fmt.Sprintf("SIP/2.0/UDP 127.0.0.1:5090;branch=z9hG4bKn%d", rapid.Uint32().Draw(rt, "branch")))
+				m.Body = []byte(rapid.SampledFrom([]string{"", "{", "[]", `{"version":1,"state":"full","servers":[]}`, `{"version":2,"state":"partial","servers":[{"id":1,"address":"127.0.0.1:5081","phase":"gone"}]}`,
+					`{"version":3,"state":"full","servers":[{"id":4294967295,"number":7,"address":"[::1]:5083","transport":"tcp","run":18446744073709551615,"age_ms":9223372036854775807,"lines":9223372036854775807}]}`,
+					`{"version":18446744073709551615,"state":"full","servers":[{"id":2,"address":"127.0.0.1:5082","run":2,"age_ms":1}]}`}).Draw(rt, "body"))
+				give(sip.Peer{Addr: sipAddr("127.0.0.1:5090")}, m)
 			case what == 6:
 				s.now += time.Duration(rapid.IntRange(0, 3000).Draw(rt, "stall ms")) * time.Millisecond
 				s.take()
@@ -97,7 +114,9 @@
 				note()
 			}
 		}
-		s.run(5 * time.Minute) // every transaction ends, and an alerting call with it
+		s.n.sub.want(false)
+		s.n.cfg.ListServer = sip.Peer{} // else the module asks for ever
+		s.run(5 * time.Minute)          // every transaction ends, and an alerting call with it
 		note()
 		for _, leg := range s.n.legs { // what stands is ended, as its sides would
 			if !leg.over && leg.call.standing {
--- a/internal/node/subscribe.go
+++ b/internal/node/subscribe.go
@@ -16,7 +16,6 @@
 // subscription is the node's one to its list server (RFC 6665). When to ask anew after a failure is the module's.
 type subscription struct {
 	n       *Node
-	on      bool // the module wants it
 	state   subState
 	callID  string
 	tag     string // own
@@ -40,7 +39,6 @@
 var errNoNotify = errors.New("no NOTIFY came")
 
 func (s *subscription) want(on bool) {
-	s.on = on
 	if !s.n.cfg.ListServer.Addr.IsValid() {
 		return
 	}
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -56,6 +56,9 @@
 	Changed []Known
 }
 
+// longAgo, in milliseconds, is an age from which a start is of no interest any more.
+const longAgo = 24 * 3600 * 1000
+
 // keepGone is how long a server that is gone stays in the list, should it come back: machines are replaced under new
 // ids for years.
 const keepGone = 10 * time.Minute
@@ -173,7 +176,7 @@
 	}
 	if old := l.byID[s.ID]; old != nil && old.Run == s.Run {
 		k.Started, k.gone = old.Started, old.gone // one start has one time, however often and late it is told
-	} else if s.AgeMs > 0 {
+	} else if s.AgeMs > 0 && s.AgeMs < longAgo {
 		k.Started = max(1, now-time.Duration(s.AgeMs)*time.Millisecond)
 	}
 	return k, nil
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -88,6 +88,12 @@
 	if k, _ := l.Get(1); k.Started != 9600*time.Millisecond {
 		t.Errorf("started at %v", k.Started)
 	}
+	s.Run, s.AgeMs = 9, 1<<62 // no time of this node's, and not in the future for that
+	l.Resync()
+	apply(t, l, 15*time.Second, Document{Version: 2, State: "full", Servers: []Server{s}})
+	if k, _ := l.Get(1); k.Started != 0 {
+		t.Errorf("started at %v", k.Started)
+	}
 	s.Run, s.AgeMs = 8, 100
 	apply(t, l, 20*time.Second, Document{Version: 3, State: "partial", Servers: []Server{s}})
 	if k, _ := l.Get(1); k.Started != 19900*time.Millisecond {
