--- a/internal/arch_test.go
+++ b/internal/arch_test.go
@@ -13,7 +13,7 @@
 
 // Packages that are pure: no sockets, files, loggers or clocks of their own (docs/access-node.md).
 var pure = []string{"actor", "node", "pool", "release", "rules", "sip", "sip/transaction", "standin", "timers", "virtual",
-	"config", "tomlfile", "membership", "recall", "ceiling",
+	"config", "tomlfile", "membership", "recall", "ceiling", "emulator", "baseline", "day",
 	"snmp/ber", "snmp/usm", "snmp/mib", "snmp/agent", "snmp/notify"}
 
 // What a pure package may not import, and what else is kept out of some.
--- a/internal/day/day.go
+++ b/internal/day/day.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	"larkrouter/internal/tomlfile"
 )
@@ -19,6 +18,12 @@
 	Name    string    `toml:"name" validate:"required"`
 	About   string    `toml:"about"`
 	Fleet   Fleet     `toml:"fleet"`
+	Servers Servers   `toml:"servers"`
+	Callers Callers   `toml:"callers"`
+	Class   []Class   `toml:"class" validate:"lte=20,dive"`
+	List    List      `toml:"list"`
+	Network Network   `toml:"network"`
+	Node    Node      `toml:"node"`
 	Trouble []Trouble `toml:"trouble" validate:"dive"`
 }
 
@@ -35,69 +40,41 @@
 	ListTCP bool     `toml:"list_by_tcp"`
 }
 
-// Trouble is one thing that goes wrong, or that operators do.
-type Trouble struct {
-	What    string   `toml:"what" validate:"required"`
-	At      float64  `toml:"at" validate:"gte=0,lte=1"`      // share of the day
-	After   Duration `toml:"after" validate:"gte=0"`         // and so long after that
-	Nodes   float64  `toml:"nodes" validate:"gte=0,lte=1"`   // share of the nodes that it is about
-	Servers float64  `toml:"servers" validate:"gte=0,lte=1"` // share of the servers
-	Server  int      `toml:"server" validate:"gte=0"`        // the server, from 0
-	For     Duration `toml:"for" validate:"gte=0"`
-	Down    Duration `toml:"down" validate:"gte=0"`   // from the end to the next start
-	Spread  Duration `toml:"spread" validate:"gte=0"` // one after another over this time
-	Wait    Duration `toml:"wait" validate:"gte=0"`   // for calls to end by themselves
-	Share   float64  `toml:"share" validate:"gte=0,lte=1"`
-	Factor  float64  `toml:"factor" validate:"gte=0,lte=1000"`
-	Times   int      `toml:"times" validate:"gte=0,lte=1000"`
-	Every   Duration `toml:"every" validate:"gte=0"`
-	By      Duration `toml:"by"`
-	Sizes   []int    `toml:"sizes"`
-	Older   bool     `toml:"older"` // the list server is back with an older version
-}
-
-// kind is what a trouble takes: the keys that it needs, and those that it may have.
-type kind struct{ needs, may []string }
-
-// Kinds of trouble.
-var kinds = map[string]kind{
-	"kill nodes":          {[]string{"nodes", "down"}, []string{"spread"}},
-	"stop nodes":          {[]string{"nodes", "down", "wait"}, []string{"spread"}},
-	"upgrade nodes":       {[]string{"nodes"}, []string{"spread"}},
-	"reload nodes":        {[]string{"nodes"}, []string{"spread", "times", "every"}},
-	"stall nodes":         {[]string{"nodes", "for"}, nil},
-	"clocks apart":        {[]string{"nodes", "by"}, nil},
-	"kill server":         {[]string{"down"}, []string{"server"}},
-	"replace server":      {[]string{"wait", "down"}, []string{"server"}},
-	"replace all servers": {[]string{"wait"}, []string{"spread"}},
-	"slow server":         {[]string{"factor", "for"}, []string{"server"}},
-	"stall server":        {[]string{"for"}, []string{"server"}},
-	"lose answers":        {[]string{"servers", "share", "for"}, nil},
-	"list dies":           {[]string{"down"}, []string{"older"}},
-	"late list":           {[]string{"nodes", "by", "for"}, nil},
-	"told sizes":          {[]string{"sizes", "every", "for"}, nil},
-	"burst":               {[]string{"factor", "for"}, nil},
-}
-
-// Kinds lists what a trouble's "what" may be.
-func Kinds() []string {
-	var all []string
-	for k := range kinds {
-		all = append(all, k)
+// spreads checks what the validation of single values can't.
+func (f *File) spreads(faults *tomlfile.Faults) {
+	for _, s := range []struct {
+		key string
+		of  Spread
+	}{{"servers.work", f.Servers.Work}, {"servers.speeds", f.Servers.Speeds}, {"servers.report_noise", f.Servers.ReportNoise},
+		{"callers.hold", f.Callers.Hold}} {
+		if err := s.of.Check(); err != nil {
+			faults.Add(s.key, ": %v", err)
+		}
+	}
+	if f.Callers.Shape == "bursty" && f.Callers.CV <= 0 {
+		faults.Add("callers.cv", " = %v: more than 0 is right for a bursty day", f.Callers.CV)
+	}
+	for i := range f.Class {
+		c := &f.Class[i]
+		key := fmt.Sprintf("class[%d]", i)
+		if c.Aim > c.Deadline || c.Try > c.Deadline {
+			faults.Add(key+".deadline", " = %v: no less than aim (%v) and try (%v) is right", c.Deadline, c.Aim, c.Try)
+		}
+		for j := range f.Class[:i] {
+			if strings.HasPrefix(c.Prefix, f.Class[j].Prefix) || strings.HasPrefix(f.Class[j].Prefix, c.Prefix) {
+				faults.Add(key+".prefix", " = %q: class %q has %q; none may begin with another", c.Prefix, f.Class[j].Name, f.Class[j].Prefix)
+			}
+		}
 	}
-	slices.Sort(all)
-	return all
 }
 
 // Read reads a day file's content; name is for the errors.
 func Read(name string, b []byte) (*File, error) {
-	f, faults := tomlfile.Read(name, b, func() File {
-		return File{Fleet: Fleet{Nodes: 40, Servers: 6, Rate: 260, Load: 0.7, Seconds: 60, Tell: true,
-			Lag: Duration(1500 * time.Millisecond)}}
-	})
+	f, faults := tomlfile.Read(name, b, Default)
 	if faults.Fatal {
 		return nil, faults.Err()
 	}
+	f.spreads(faults)
 	for i := range f.Trouble {
 		t := &f.Trouble[i]
 		key := fmt.Sprintf("trouble[%d]", i)
@@ -128,38 +105,3 @@
 	}
 	return f, nil
 }
-
-func (t *Trouble) given() map[string]bool {
-	return map[string]bool{"nodes": t.Nodes > 0, "servers": t.Servers > 0, "server": t.Server > 0, "for": t.For > 0, "down": t.Down > 0,
-		"spread": t.Spread > 0, "wait": t.Wait > 0, "share": t.Share > 0, "factor": t.Factor > 0, "times": t.Times > 0,
-		"every": t.Every > 0, "by": t.By != 0, "sizes": len(t.Sizes) > 0, "older": t.Older}
-}
-
-// Begins is when the trouble begins, in a day of a length.
-func (t *Trouble) Begins(length time.Duration) time.Duration {
-	return time.Duration(t.At*float64(length)) + time.Duration(t.After)
-}
-
-// String is the trouble in a line.
-func (t *Trouble) String() string {
-	s := t.What
-	add := func(given bool, format string, args ...any) {
-		if given {
-			s += ", " + fmt.Sprintf(format, args...)
-		}
-	}
-	of := t.given()
-	add(of["nodes"], "%.0f%% of the nodes", 100*t.Nodes)
-	add(of["servers"], "%.0f%% of the servers", 100*t.Servers)
-	add(strings.Contains(t.What, " server") && !strings.Contains(t.What, "all"), "server %d", t.Server)
-	add(of["share"], "%.0f%%", 100*t.Share)
-	add(of["factor"], "factor %g", t.Factor)
-	add(of["sizes"], "sizes %v every %v", t.Sizes, t.Every)
-	add(of["spread"], "over %v", t.Spread)
-	add(of["times"], "%d times", t.Times)
-	add(of["by"], "by %v", t.By)
-	add(of["for"], "for %v", t.For)
-	add(of["wait"], "waiting %v", t.Wait)
-	add(of["down"], "back after %v", t.Down)
-	return s
-}
--- a/internal/day/day_test.go
+++ b/internal/day/day_test.go
@@ -68,7 +68,7 @@
 	}
 	for _, want := range []string{"x.toml:3: fleet.nodes = -3", "x.toml:4: fleet.load = 99", "x.toml:7: trouble[0].at = 1.5",
 		"x.toml:9: trouble[0].for = -2s",
-		`x.toml:11: trouble[1].what = "earthquake": one of burst, `, `x.toml:15: trouble[2].share: "list dies" takes no such key`,
+		`x.toml:11: trouble[1].what = "earthquake": one of ageing server, burst, `, `x.toml:15: trouble[2].share: "list dies" takes no such key`,
 		`x.toml:16: trouble[3].down: is needed`, "x.toml:18: trouble[3].server = 9: there are 6",
 		"x.toml:21: trouble.colour: no such key", "x.toml:22"} {
 		if !strings.Contains(err.Error(), want) {
@@ -76,3 +76,59 @@
 		}
 	}
 }
+
+// What is wrong with the models' figures is told with line and key as well.
+func TestNonsenseOfModels(t *testing.T) {
+	_, err := Read("y.toml", []byte(`name = "y"
+[servers]
+work = { kind = "cauchy", cv = 1 }
+speeds = { kind = "uniform", cv = 2 }
+release = 1.5
+[callers]
+shape = "square"
+tcp = -0.1
+[network]
+loss = 0.9
+[[class]]
+name = "a"
+prefix = "1"
+share = 1
+aim = "2s"
+deadline = "1s"
+try = "1s"
+hold = "4s"
+worth = 1
+[[class]]
+name = "b"
+prefix = "12"
+share = 0
+aim = "1s"
+deadline = "1s"
+try = "1s"
+hold = "4s"
+worth = -1
+[[trouble]]
+what = "partition"
+at = 0.5
+for = "4s"
+from = "moon"
+to = "servers"
+[[trouble]]
+what = "wrong list"
+servers = 1.4
+for = "2s"
+`))
+	if err == nil {
+		t.Fatal("taken")
+	}
+	for _, want := range []string{`y.toml:3: servers.work: kind "cauchy"`, "y.toml:4: servers.speeds: cv = 2",
+		"y.toml:5: servers.release = 1.5",
+		"y.toml:7: callers.shape", "y.toml:8: callers.tcp = -0.1", "y.toml:10: network.loss = 0.9", "y.toml:16: class[0].deadline",
+		`y.toml:23: class[1].share`, `y.toml:22: class[1].prefix = "12"`, "class[1].worth = -1",
+		"y.toml:33: trouble[0].from", "y.toml:37: trouble[1].servers = 1.4",
+		`trouble[1].as: is needed for "wrong list"`} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%v\nlacks %s", err, want)
+		}
+	}
+}
--- a/internal/demo/stage.go
+++ b/internal/demo/stage.go
@@ -124,6 +124,9 @@
 func NewVirtual(seed uint64, rec *Recorder) *Virtual {
 	v := &Virtual{Net: virtual.New(seed), rec: rec, parties: map[string]Party{}, port: 5060}
 	v.begin = v.Net.Now()
+	v.Net.Missed = func(now, until time.Duration, from netip.AddrPort, to sip.Peer, m *sip.Message) {
+		rec.Add(rules.Record{Time: now, Kind: "lost", Until: until, Self: from.String(), Peer: to.String(), Msg: m.Clone()})
+	}
 	return v
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,9 +14,11 @@
 	"time"
 
 	"larkrouter"
+	"larkrouter/internal/baseline"
 	"larkrouter/internal/ceiling"
 	"larkrouter/internal/day"
 	"larkrouter/internal/demo"
+	"larkrouter/internal/emulator"
 	"larkrouter/internal/membership"
 	"larkrouter/internal/node"
 	"larkrouter/internal/pool"
@@ -28,30 +30,17 @@
 
 // Options say where and with what chance a day is played.
 type Options struct {
-	Day  *day.File
-	Seed uint64
-	Say  func(at time.Duration, what string)
+	Day    *day.File
+	Seed   uint64
+	Say    func(at time.Duration, what string)
+	Policy string                           // "" or Module: the project's own; else one of baseline.Names
+	Sample func(Sample)                     // told of each second
+	SetUp  func(class int, d time.Duration) // told how long each call took to stand
+	Break  Planted                          // a fault planted in the nodes, to see whether it is found
 }
 
-// classes are those of the demo, worth and aims alike.
-var classes = []standin.CallerClass{
-	{Name: "balance-check", Prefix: "1", Share: 0.74, Aim: 1200 * time.Millisecond, Deadline: 9 * time.Second,
-		Try: 3 * time.Second, Hold: 8 * time.Second, Worth: 1, Late: 0.25},
-	{Name: "cutoff-transfer", Prefix: "2", Share: 0.05, Aim: time.Second, Deadline: 6 * time.Second, Try: 2 * time.Second,
-		Hold: 4 * time.Second, Worth: 8, Late: 0.25},
-	{Name: "rate-quote", Prefix: "3", Share: 0.21, Aim: 1200 * time.Millisecond, Deadline: 9 * time.Second, Try: 3 * time.Second,
-		Hold: 6 * time.Second, Worth: 2, Late: 0.1},
-}
-
-// Figures of the rules, as the first users have them.
-const (
-	guard    = 500 * time.Millisecond
-	grace    = time.Second
-	cold     = 0.3
-	ramp     = 13 * time.Second
-	tip      = 2.0
-	overload = 2 * time.Second
-)
+// Module is the policy that serves.
+const Module = "module"
 
 type server struct {
 	party demo.Party
@@ -59,12 +48,26 @@
 	act   *standin.CallServer
 	run   uint64
 	down  bool
+	fast  float64 // its speed, where 1 is the mean
 }
 
 // Fleet is a day being played.
 type Fleet struct {
 	opt      Options
+	streams  emulator.Streams
+	file     *day.File
 	day      day.Fleet
+	classes  []standin.CallerClass
+	weather  *emulator.Weather
+	where    map[netip.AddrPort]emulator.Place
+	tide     *emulator.Rate
+	called   *emulator.Destinations // nil: numbers as they come
+	speeds   func() float64
+	held     map[netip.AddrPort]int // most connections that a server takes, while that is limited
+	refused  map[netip.AddrPort]bool
+	world    *baseline.World
+	begin    time.Duration
+	last     Sample
 	length   time.Duration
 	stage    demo.Stage
 	rec      *demo.Recorder
@@ -94,15 +97,18 @@
 
 // NewVirtual sets a day up in virtual time.
 func NewVirtual(opt Options) (*Fleet, error) {
-	f := &Fleet{opt: opt, sampling: 100 * time.Millisecond}
+	f := newFleet(opt)
+	f.sampling = 100 * time.Millisecond
 	f.rec = &demo.Recorder{Each: func(r rules.Record) {
 		f.Records++
 		f.checker.Add(r)
 	}, Log: f.note}
 	stage := demo.NewVirtual(opt.Seed, f.rec)
-	stage.Net.Delay, stage.Net.Jitter = 4*time.Millisecond, 3*time.Millisecond
+	stage.Net.Delay, stage.Net.Jitter = time.Duration(f.file.Network.Delay), time.Duration(f.file.Network.Jitter)
 	f.stage = stage
-	f.figures = figures(20*time.Millisecond, 20*time.Millisecond)
+	f.under(stage.Net)
+	far := 20*time.Millisecond + 2*(stage.Net.Delay+stage.Net.Jitter)
+	f.figures = f.rules(far, far)
 	if err := f.set(); err != nil {
 		return nil, err
 	}
@@ -112,11 +118,15 @@
 
 // NewSockets sets a day up on loopback sockets, all parties in this process; they end with the context.
 func NewSockets(ctx context.Context, opt Options) (*Fleet, *demo.Sockets, error) {
-	f := &Fleet{opt: opt, sampling: 500 * time.Millisecond}
+	f := newFleet(opt)
+	f.sampling = 500 * time.Millisecond
+	if err := f.onSockets(); err != nil {
+		return nil, nil, err
+	}
 	f.rec = &demo.Recorder{Log: f.note}
 	stage := demo.NewSockets(ctx, f.rec)
 	f.stage = stage
-	f.figures = figures(400*time.Millisecond, 150*time.Millisecond) // busy machines
+	f.figures = f.rules(400*time.Millisecond, 150*time.Millisecond) // busy machines
 	if err := f.set(); err != nil {
 		return nil, nil, err
 	}
@@ -129,14 +139,31 @@
 	}
 }
 
-func figures(answer, slack time.Duration) rules.Figures {
-	return rules.Figures{AnswerSlack: answer, ReleaseGuard: guard, DrainGrace: grace, ColdShare: cold, RampTime: ramp,
-		TipMultiple: tip, OverloadFor: overload, Capacity: map[string]float64{}, Slack: slack, Tries: demo.Tries(classes)}
+func newFleet(opt Options) *Fleet {
+	f := &Fleet{opt: opt, streams: emulator.Streams(opt.Seed), file: opt.Day, day: opt.Day.Fleet, where: map[netip.AddrPort]emulator.Place{},
+		held: map[netip.AddrPort]int{}, refused: map[netip.AddrPort]bool{}}
+	for _, c := range f.file.Classes() {
+		f.classes = append(f.classes, standin.CallerClass{Name: c.Name, Prefix: c.Prefix, Share: c.Share, Aim: time.Duration(c.Aim),
+			Deadline: time.Duration(c.Deadline), Try: time.Duration(c.Try), Hold: time.Duration(c.Hold), Worth: c.Worth, Late: c.Late})
+	}
+	f.weather = emulator.NewWeather(f.streams)
+	return f
+}
+
+// Classes are the day's.
+func (f *Fleet) Classes() []standin.CallerClass { return f.classes }
+
+func (f *Fleet) rules(answer, slack time.Duration) rules.Figures {
+	s, n := &f.file.Servers, &f.file.Node
+	return rules.Figures{AnswerSlack: answer, ReleaseGuard: time.Duration(n.Guard), DrainGrace: time.Duration(n.Grace),
+		ColdShare: s.ColdShare, RampTime: time.Duration(s.Ramp), TipMultiple: s.Tip, OverloadFor: time.Duration(s.TipFor),
+		Capacity: map[string]float64{}, Slack: slack, Tries: demo.Tries(f.classes)}
 }
 
 // set reserves addresses and describes servers.
 func (f *Fleet) set() error {
-	f.day, f.length = f.opt.Day.Fleet, time.Duration(f.opt.Day.Fleet.Seconds*float64(time.Second))
+	f.length, f.begin = time.Duration(f.day.Seconds*float64(time.Second)), f.stage.Now()
+	f.parts()
 	n := f.day.Nodes
 	f.places = make([]*holder, n)
 	f.lives, f.Nodes, f.down = make([]uint64, n), make([]*node.Node, n), make([]bool, n)
@@ -145,41 +172,24 @@
 	if f.listAt, err = f.stage.Address("list"); err != nil {
 		return err
 	}
+	f.where[f.listAt] = emulator.Place{Kind: emulator.List}
 	for range f.day.Servers {
 		if err := f.addServer(); err != nil {
 			return err
 		}
 	}
 	for i := range f.Nodes {
-		f.limits[i] = 4
+		f.limits[i] = f.file.Node.Attempts
 		at, err := f.stage.Address(f.nodeName(i))
 		if err != nil {
 			return err
 		}
 		f.nodeAt = append(f.nodeAt, at)
+		f.where[at] = emulator.Place{Kind: emulator.Node, N: i}
 	}
 	return nil
 }
 
-// addServer describes one more server, at an address of its own.
-func (f *Fleet) addServer() error {
-	i := len(f.servers)
-	name := fmt.Sprintf("server-%d", i)
-	at, err := f.stage.Address(name)
-	if err != nil {
-		return err
-	}
-	whole := float64(time.Second) * float64(f.day.Servers) * f.day.Load / f.day.Rate
-	s := &server{run: 1, party: demo.Party{Name: name, Kind: "server", Addr: at},
-		cfg: standin.ServerConfig{Seed: f.opt.Seed + uint64(i)*7 + 1, Address: at, SetUp: time.Duration(0.7 * whole),
-			Release: time.Duration(0.3 * whole), Refusal: time.Duration(0.1 * whole), Repeat: time.Duration(0.3 * whole),
-			MaxWait: 3 * time.Second, ColdShare: cold, RampTime: ramp, TipMultiple: tip, OverloadFor: overload, HangUp: 0.05,
-			Hold: 4 * time.Second}}
-	f.figures.Capacity[at.String()] = s.cfg.Capacity()
-	f.servers = append(f.servers, s)
-	return nil
-}
-
 // boot starts everybody.
 func (f *Fleet) boot() error {
 	if err := f.bootList(0, nil); err != nil {
@@ -196,15 +206,7 @@
 		}
 	}
 	for i := range f.Nodes {
-		name := fmt.Sprintf("callers-%d", i)
-		at, err := f.stage.Address(name)
-		if err != nil {
-			return err
-		}
-		c := standin.NewCallers(standin.CallersConfig{Seed: f.opt.Seed + 100_000 + uint64(i), Address: at, Node: f.nodeAt[i],
-			Rate: f.day.Rate / float64(f.day.Nodes), Classes: classes, Redials: 2, Back: 1200 * time.Millisecond, TCP: 0.2, Impatient: 0.005})
-		f.callers = append(f.callers, c)
-		if err := f.stage.Boot(demo.Party{Name: name, Kind: "caller", Addr: at, Act: c}); err != nil {
+		if err := f.bootCallers(i); err != nil {
 			return err
 		}
 	}
@@ -226,7 +228,8 @@
 		}
 		entries = append(entries, f.entry(i, phase))
 	}
-	l := standin.NewList(standin.ListConfig{Seed: f.opt.Seed + 90 + version, Address: f.listAt, Lag: time.Duration(f.day.Lag),
+	l := standin.NewList(standin.ListConfig{Seed: f.streams.Seed(fmt.Sprintf("list %d", version)), Address: f.listAt,
+		Lag:     time.Duration(f.day.Lag),
 		Expires: 15 * time.Second, Fleet: f.day.Tell}, entries...)
 	l.SetVersion(version + 1)
 	if err := l.Restore(f.stage.Now(), leases); err != nil {
@@ -238,6 +241,10 @@
 		}
 		return 0
 	}
+	late := &f.file.List
+	l.LagFor = func(s pool.Server) time.Duration {
+		return time.Duration(map[string]day.Duration{"ready": late.LagStart, "draining": late.LagDrain, "gone": late.LagGone}[s.Phase])
+	}
 	f.list = l
 	return f.stage.Boot(demo.Party{Name: "list", Kind: "list", Addr: f.listAt, Act: l})
 }
@@ -262,7 +269,8 @@
 	}
 	cfg := s.cfg
 	cfg.Cold = isCold
-	cfg.Seed += 10_000 * s.run
+	cfg.Seed = f.streams.Seed(fmt.Sprintf("server %d, run %d", i, s.run))
+	f.vary(&cfg, i, s.run)
 	s.act, s.down = standin.NewServer(cfg), false
 	p := s.party
 	p.Act = s.act
@@ -280,13 +288,22 @@
 	if size == 0 {
 		size = f.day.Nodes
 	}
-	set := larkrouter.Settings{Instances: size, Rank: i % size, Tick: 5 * time.Millisecond, ReleaseGuard: guard,
-		Retransmit: 500 * time.Millisecond, ColdShare: cold, RampTime: ramp, TipMultiple: tip, OverloadFor: overload,
-		MaxAttempts: f.limits[i], MayCancel: true, MarksRedials: true, RetryAfter: true, MaxRetryAfter: 2 * time.Second}
-	cfg := node.Config{Seed: f.opt.Seed + 1_000_000 + uint64(i)*1000 + f.lives[i], Name: f.nodeName(i),
+	n, sv := &f.file.Node, &f.file.Servers
+	set := larkrouter.Settings{Instances: size, Rank: i % size, Tick: time.Duration(n.Tick), ReleaseGuard: time.Duration(n.Guard),
+		Retransmit: 500 * time.Millisecond, ColdShare: sv.ColdShare, RampTime: time.Duration(sv.Ramp), TipMultiple: sv.Tip,
+		OverloadFor: time.Duration(sv.TipFor), MaxAttempts: f.limits[i], MayCancel: !n.NoCancel, MarksRedials: true, RetryAfter: true,
+		MaxRetryAfter: 2 * time.Second}
+	cfg := node.Config{Seed: f.streams.Seed(fmt.Sprintf("node %d, life %d", i, f.lives[i])), Name: f.nodeName(i),
 		ListServer: sip.Peer{Addr: f.listAt, Transport: f.listBy()}, ListExpires: 15 * time.Second,
 		Addresses: [2]netip.AddrPort{f.nodeAt[i], f.nodeAt[i]}, MaxCalls: 20000, Earlier: f.kept[i], Wall: f.wall(i)}
-	set.Classes, cfg.Classes = demo.NodeClasses(classes)
+	set.Classes, cfg.Classes = demo.NodeClasses(f.classes)
+	if f.called != nil {
+		for k := range f.day.Servers {
+			for _, c := range f.classes {
+				cfg.Routes = append(cfg.Routes, pool.Route{Prefix: emulator.RoutePrefix(c.Prefix, k), Server: k})
+			}
+		}
+	}
 	cfg.Settings = set
 	return cfg
 }
@@ -298,11 +315,11 @@
 
 func (f *Fleet) bootNode(i int) error {
 	f.lives[i]++
-	n, err := node.New(f.nodeConfig(i))
+	n, loss, err := f.newNode(i)
 	if err != nil {
 		return err
 	}
-	f.Nodes[i], f.down[i], f.places[i] = n, false, &holder{cur: n}
+	f.Nodes[i], f.down[i], f.places[i] = n, false, &holder{cur: n, loss: loss, idOf: f.idOf}
 	return f.stage.Boot(demo.Party{Name: f.nodeName(i), Kind: "node", Addr: f.nodeAt[i], Act: f.places[i]})
 }
 
@@ -365,6 +382,11 @@
 	for at := time.Second; at <= f.length; at += time.Second {
 		steps = append(steps, demo.Step{At: at, Do: f.keepMemories})
 	}
+	if f.opt.Sample != nil {
+		for at := time.Second; at <= f.End(); at += time.Second {
+			steps = append(steps, demo.Step{At: at, Do: func() { f.second(at) }})
+		}
+	}
 	slices.SortStableFunc(steps, func(a, b demo.Step) int { return cmp.Compare(a.At, b.At) })
 	f.stage.Play(ctx, steps, f.End())
 	var rep rules.Report
@@ -388,23 +410,23 @@
 func (f *Fleet) sample() {
 	if f.bound == nil {
 		var cl []ceiling.Class
-		for _, c := range classes {
-			s := &f.servers[0].cfg
+		for _, c := range f.classes {
+			s, fast := &f.servers[0].cfg, f.servers[0].fast // work as a server of the mean speed would have it
 			cl = append(cl, ceiling.Class{Worth: c.Worth, Late: c.Late, Aim: c.Aim, Deadline: c.Deadline, Hold: c.Hold,
-				SetUp: s.SetUp.Seconds(), Release: s.Release.Seconds()})
+				SetUp: fast * s.SetUp.Seconds(), Release: fast * s.Release.Seconds()})
 		}
-		f.bound, f.seen = ceiling.New(f.sampling, cl), make([]uint64, len(classes))
+		f.bound, f.seen = ceiling.New(f.sampling, cl), make([]uint64, len(f.classes))
 	}
 	work := 0.0
 	for i := range f.servers {
 		f.onServer(i, func(s *standin.CallServer, now time.Duration) {
 			if !s.Over {
 				s.At(now)
-				work += s.Speed() * f.sampling.Seconds()
+				work += s.Unpressed() * f.servers[i].fast * f.sampling.Seconds()
 			}
 		})
 	}
-	offered := make([]float64, len(classes))
+	offered := make([]float64, len(f.classes))
 	for i, c := range f.Counts() {
 		offered[i] = float64(c.Offered - f.seen[i])
 		f.seen[i] = c.Offered
@@ -438,7 +460,7 @@
 
 // Counts are the callers' figures by class.
 func (f *Fleet) Counts() []standin.ClassCounts {
-	sum := make([]standin.ClassCounts, len(classes))
+	sum := make([]standin.ClassCounts, len(f.classes))
 	for j, c := range f.callers {
 		f.stage.Do(fmt.Sprintf("callers-%d", j), func(time.Duration) {
 			for i, n := range c.Counts {
@@ -450,12 +472,12 @@
 }
 
 // Served is the worth that stood in aim and was not cut, over the worth offered.
-func (f *Fleet) Served() float64 { return standin.Served(classes, f.Counts()) }
+func (f *Fleet) Served() float64 { return standin.Served(f.classes, f.Counts()) }
 
 // Print writes the day's table.
 func (f *Fleet) Print(w io.Writer, rep rules.Report) error {
 	t := demo.NewTable(w)
-	t.Classes(classes, f.Counts())
+	t.Classes(f.classes, f.Counts())
 	if err := t.Rules(w, rep); err != nil {
 		return err
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -6,7 +6,9 @@
 	"testing"
 
 	"larkrouter/days"
+	"larkrouter/internal/baseline"
 	"larkrouter/internal/day"
+	"larkrouter/internal/demo"
 	"larkrouter/internal/rules"
 )
 
@@ -195,3 +197,93 @@
 	stop()
 	stage.Wait()
 }
+
+// Days of weather, of worn servers and of a list astray: the rules hold over all nodes.
+func TestRoughDays(t *testing.T) {
+	t.Parallel()
+	for _, name := range []string{"network", "worn", "astray"} {
+		f, rep := play(t, kept(t, name, func(d *day.Fleet) { d.Nodes, d.Servers, d.Rate, d.Seconds = 20, 5, 120, 40 }), 4)
+		clean(t, name, f, rep)
+		if rep.Rules[0].Checks < 4000 || f.Served() < f.Most()-0.15 || f.Served() > f.Most()+0.02 {
+			t.Errorf("%s: %d checks, served %.3f of at most %.3f", name, rep.Rules[0].Checks, f.Served(), f.Most())
+		}
+		if w, s := f.Open(); w+s > 0 {
+			t.Errorf("%s: %d calls waiting and %d standing", name, w, s)
+		}
+	}
+}
+
+// What got lost on the way is part of a capture: a checker that is not told holds nodes to answers that they never
+// heard, and sees breaks where there are none.
+func TestLossIsSeen(t *testing.T) {
+	t.Parallel()
+	for _, told := range []bool{true, false} {
+		d := kept(t, "network", func(d *day.Fleet) { d.Nodes, d.Servers, d.Rate, d.Seconds = 10, 4, 120, 20 })
+		d.Network.Loss = 0.1
+		f, err := NewVirtual(Options{Day: d, Seed: 2})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !told {
+			f.stage.(*demo.Virtual).Net.Missed = nil
+		}
+		rep := f.Play(t.Context())
+		if told {
+			clean(t, "told", f, rep)
+		} else if rep.Broken() == 0 {
+			t.Error("nothing is broken where the checker is not told of losses")
+		}
+	}
+}
+
+// Every baseline plays a day, keeps the rules that a call's own node can keep, and lands where it should: the oracle
+// above all, and near the bound that is reckoned without any messages.
+func TestBaselines(t *testing.T) {
+	t.Parallel()
+	served, bound := map[string]float64{}, 0.0
+	for _, name := range append([]string{Module}, baseline.Names...) {
+		d := kept(t, "worn", func(d *day.Fleet) { d.Nodes, d.Servers, d.Rate, d.Seconds, d.Load = 16, 5, 120, 30, 0.9 })
+		f, err := NewVirtual(Options{Day: d, Seed: 3, Policy: name})
+		if err != nil {
+			t.Fatal(err)
+		}
+		rep := f.Play(t.Context())
+		for _, rule := range []int{0, 1, 2, 4} {
+			if v := rep.Rules[rule]; v.Breaks > 0 {
+				t.Errorf("%s: rule %d: %q", name, rule+1, v.Examples)
+			}
+		}
+		served[name], bound = f.Served(), f.Most()
+	}
+	for name, x := range served {
+		if name != "oracle" && x >= served["oracle"] {
+			t.Errorf("%s serves %.3f, the oracle %.3f", name, x, served["oracle"])
+		}
+		if name != "random" && name != "least-delay" && x <= served["random"] {
+			t.Errorf("%s serves %.3f, a route at random %.3f", name, x, served["random"])
+		}
+	}
+	if served["oracle"] < bound-0.1 {
+		t.Errorf("the oracle serves %.3f, %.3f could be", served["oracle"], bound)
+	}
+	t.Logf("%v, at most %.3f", served, bound)
+}
+
+// A share of the callers' draws, and no more, changes with what is drawn of the servers: the calls offered are the same.
+func TestStreamsOfADay(t *testing.T) {
+	t.Parallel()
+	var offered [2]uint64
+	for i, cv := range []float64{0, 0.8} {
+		d := kept(t, "calm", func(d *day.Fleet) { d.Nodes, d.Servers, d.Rate, d.Seconds = 4, 2, 60, 15 })
+		if cv > 0 {
+			d.Servers.Work = day.Spread{Kind: "gamma", CV: cv}
+		}
+		f, _ := play(t, d, 9)
+		for _, c := range f.Counts() {
+			offered[i] = 1000*offered[i] + c.Offered
+		}
+	}
+	if offered[0] != offered[1] {
+		t.Errorf("offered by class %d, and %d where work varies", offered[0], offered[1])
+	}
+}
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -1,9 +1,12 @@
 package fleet
 
 import (
+	"net/netip"
+	"strings"
 	"time"
 
 	"larkrouter/internal/actor"
+	"larkrouter/internal/baseline"
 	"larkrouter/internal/node"
 	"larkrouter/internal/sip"
 )
@@ -12,6 +15,9 @@
 // the old one sees what comes first, and what belongs to none of its calls is the new one's.
 type holder struct {
 	cur, old *node.Node
+	// loss, if set, is the policy that takes part in overload control by loss, which the module does not.
+	loss *baseline.Loss
+	idOf func(netip.AddrPort) (uint32, bool)
 }
 
 // upgrade lets a new node take the place; the old one ends its calls.
@@ -33,6 +39,11 @@
 		h.old.Receive(now, p)
 		return
 	}
+	if h.loss != nil && p.Msg != nil && !p.Msg.IsRequest() {
+		if id, ok := h.idOf(p.Peer.Addr); ok {
+			h.loss.Told(now, id, p.Msg)
+		}
+	}
 	h.cur.Receive(now, p)
 }
 
@@ -72,5 +83,16 @@
 			h.old = nil
 		}
 	}
-	h.cur.Take(f)
+	if h.loss == nil {
+		h.cur.Take(f)
+		return
+	}
+	h.cur.Take(func(e actor.Effect) {
+		if e.Send != nil && e.Send.Method == sip.INVITE {
+			if _, ok := h.idOf(e.To.Addr); ok && !strings.Contains(e.Send.Get("Via"), ";oc;") {
+				baseline.Ask(e.Send)
+			}
+		}
+		f(e)
+	})
 }
--- a/internal/fleet/script.go
+++ b/internal/fleet/script.go
@@ -140,6 +140,10 @@
 	case "burst":
 		at(0, func() { f.rate(t.Factor) })
 		at(d(t.For), func() { f.rate(1) })
+	default:
+		if !f.serverTrouble(t, at) {
+			f.networkTrouble(t, at)
+		}
 	}
 }
 
@@ -177,7 +181,7 @@
 	if f.down[i] {
 		return
 	}
-	f.limits[i] = 7 - f.limits[i]
+	f.limits[i] = 2*f.file.Node.Attempts - 1 - f.limits[i]
 	cfg, n := f.nodeConfig(i), f.Nodes[i]
 	f.stage.Do(f.nodeName(i), func(now time.Duration) { f.try(n.Reconfigure(now, cfg)) })
 }
@@ -188,7 +192,7 @@
 		return
 	}
 	f.lives[i]++
-	n, err := node.New(f.nodeConfig(i))
+	n, _, err := f.newNode(i)
 	f.try(err)
 	h := f.places[i]
 	f.stage.Do(f.nodeName(i), func(now time.Duration) { h.upgrade(now, n) })
--- a/internal/rules/check.go
+++ b/internal/rules/check.go
@@ -145,6 +145,8 @@
 		c.killed[r.Self] = append(c.killed[r.Self], r.Time)
 	case r.Kind == "stalled":
 		c.stalled[r.Self] = append(c.stalled[r.Self], [2]time.Duration{r.Time, r.Until})
+	case r.Kind == "lost" && r.Msg != nil:
+		c.lost(r)
 	case r.Kind != "msg" || r.Msg == nil:
 	case r.At == "caller":
 		c.atCaller(r)
@@ -159,6 +161,7 @@
 	node     string
 	first    time.Duration
 	deadline time.Duration
+	unheard  bool // the one INVITE so far was lost on its way
 	accepted bool
 	final    string // status and tag of the one final answer
 	finalAt  time.Duration
@@ -172,7 +175,13 @@
 func (c *checker) atCaller(r *Record) {
 	m := r.Msg
 	if r.Dir == "out" && m.Method == sip.INVITE && m.Tag("To") == "" {
-		if c.calls[callKey(m)] == nil {
+		if k := c.calls[callKey(m)]; k != nil && k.unheard {
+			k.unheard = false // the node's clock begins with this copy
+			if k.deadline >= 0 {
+				k.deadline += r.Time - k.first
+			}
+			k.first = r.Time
+		} else if k == nil {
 			k := &callSeen{id: m.Get("Call-ID"), node: r.Peer[strings.IndexByte(r.Peer, ':')+1:], first: r.Time, deadline: -1}
 			number := m.URI
 			if u, err := sip.ParseURI(m.URI); err == nil {
@@ -225,6 +234,55 @@
 	})
 }
 
+// lost takes a message that left its sender's socket and got lost on the way, or arrives late. What a node has sent
+// counts as sent: it can do no more than send. What a node has not heard of yet it need not act on.
+func (c *checker) lost(r *Record) {
+	m := r.Msg
+	peer := r.Peer[strings.IndexByte(r.Peer, ':')+1:]
+	_, method, _ := m.CSeq()
+	if a := c.attempts[r.Self+"|"+m.Get("Call-ID")]; a != nil { // by a server
+		switch {
+		case m.IsRequest() || method != sip.INVITE:
+		case m.Status < 200 && a.rung == r.Time:
+			a.rung = arrives(r)
+		case m.Status >= 200 && a.answered == r.Time:
+			if a.answered = arrives(r); a.answered < 0 {
+				a.status = 0
+			}
+		}
+		return
+	}
+	if a := c.attempts[peer+"|"+m.Get("Call-ID")]; a != nil { // to a server
+		switch {
+		case m.Method == sip.CANCEL && a.cancelled < 0:
+			a.cancelled = r.Time
+		case m.Method == sip.BYE:
+			a.bye = r.Time
+		}
+		return
+	}
+	k := c.calls[callKey(m)]
+	switch {
+	case k == nil:
+	case !m.IsRequest() && method == sip.INVITE: // to a caller
+		in := *r
+		in.Dir = "in"
+		c.atCaller(&in)
+	case m.Method == sip.INVITE && k.first == r.Time && !k.accepted:
+		if k.unheard = r.Until == 0; !k.unheard && k.deadline >= 0 {
+			k.deadline += r.Until - r.Time
+		}
+	}
+}
+
+// arrives is when a late message does; -1: never.
+func arrives(r *Record) time.Duration {
+	if r.Until == 0 {
+		return -1
+	}
+	return r.Until
+}
+
 // attemptSeen is an attempt as its server's socket saw it.
 type attemptSeen struct {
 	session, server, callID string
@@ -232,7 +290,7 @@
 	rung, answered          time.Duration // first 1xx, first final; -1: none
 	status                  int
 	cancelled, bye          time.Duration // -1: none
-	superseded              bool
+	superseded              time.Duration // since when another attempt has begun; -1: none
 }
 
 func (c *checker) atServer(r *Record) {
@@ -244,14 +302,14 @@
 	case r.Dir == "in" && m.Method == sip.INVITE && m.Tag("To") == "":
 		if a != nil {
 			a.copied = r.Time
-			if a.superseded {
+			if a.superseded >= 0 && r.Time > a.superseded+c.f.Slack { // not one that was on its way
 				c.broken(2, r.Time, "session %s: INVITE to %s again after another attempt had begun", a.session, a.server)
 			}
 			return
 		}
 		session, _, _ := strings.Cut(m.Get("Session-ID"), ";")
 		a = &attemptSeen{session: session, server: r.Self, callID: m.Get("Call-ID"), first: r.Time, copied: r.Time,
-			rung: -1, answered: -1, cancelled: -1, bye: -1}
+			rung: -1, answered: -1, cancelled: -1, bye: -1, superseded: -1}
 		c.attempts[key] = a
 		c.begin(a, r)
 	case a == nil:
@@ -280,7 +338,9 @@
 	c.report.Rules[1].Checks++
 	for _, old := range c.sessions[a.session] {
 		c.against(old, a)
-		old.superseded = true
+		if old.superseded < 0 {
+			old.superseded = r.Time
+		}
 	}
 	if a.session != "" {
 		c.sessions[a.session] = append(c.sessions[a.session], a)
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -40,11 +41,19 @@
 	Impatient float64       // share of the calls that their caller leaves early
 	Large     float64       // share with a body over the datagram limit
 	Numbers   int           // how many numbers are called, by class
+
+	Next   func(now time.Duration, rate float64) time.Duration // when the next call comes; nil: a Poisson process
+	Called func(class int) string                              // number of a call; nil: one of Numbers
+	Length func(class int) time.Duration                       // how long a call stands; nil: exponential
+	Comes  time.Duration                                       // a call that is cut is dialled again after this, on average; 0: not
 }
 
 // ClassCounts are what became of a class's calls, each with all its tries.
+//
+// Cut are calls that stood and were cut; CutLate, those of them that had stood late; Returned, those that were cut and
+// stood again in their time, which count as cut no longer.
 type ClassCounts struct {
-	Offered, InAim, Late, Refused, Failed, Unanswered, Left, Cut, Redials uint64
+	Offered, InAim, Late, Refused, Failed, Unanswered, Left, Cut, CutLate, Returned, Redials uint64
 }
 
 // Callers is a population of callers.
@@ -56,6 +65,7 @@
 	next    timers.Timer
 	stopped bool
 	calls   map[string]*dialled // by own tag
+	draws   *rand.Rand          // of what is dialled: apart from that of tokens and waits, which goes by how calls fare
 	open    int
 	serial  uint64
 	SetUp   func(class int, d time.Duration) // told how long a try took to stand
@@ -67,6 +77,7 @@
 	number                 string
 	caller                 string
 	first                  time.Duration
+	length                 time.Duration // that it will stand
 	tries                  int
 	tcp                    bool
 	body                   []byte
@@ -78,6 +89,8 @@
 	to, tgt                string
 	peer                   sip.Peer
 	stood                  bool
+	returns                bool // it stood before, and was cut
+	late                   bool // it stood after its aim
 	done                   bool
 	leaving                bool
 	owesCancel             bool
@@ -91,6 +104,7 @@
 		c.cfg.Numbers = 1000
 	}
 	c.init(cfg.Address, cfg.Seed, c)
+	c.draws = rand.New(rand.NewPCG(cfg.Seed, 0x6469616c))
 	return c
 }
 
@@ -129,8 +143,13 @@
 		c.heap.Stop(&c.next)
 		return
 	}
-	gap := time.Duration(c.id.Rand.ExpFloat64() / c.rate * float64(time.Second))
-	c.heap.Set(&c.next, c.now+gap, func() {
+	var at time.Duration
+	if c.cfg.Next != nil {
+		at = c.cfg.Next(c.now, c.rate)
+	} else {
+		at = c.now + time.Duration(c.draws.ExpFloat64()/c.rate*float64(time.Second))
+	}
+	c.heap.Set(&c.next, at, func() {
 		c.Dial(c.pick())
 		c.arrive()
 	})
@@ -141,7 +160,7 @@
 	for _, cl := range c.cfg.Classes {
 		sum += cl.Share
 	}
-	x := c.id.Rand.Float64() * sum
+	x := c.draws.Float64() * sum
 	for i, cl := range c.cfg.Classes {
 		if x -= cl.Share; x < 0 {
 			return i
@@ -153,13 +172,20 @@
 // Dial starts a call of a class.
 func (c *Callers) Dial(class int) {
 	c.serial++
-	d := &dialled{class: class, first: c.now, tcp: c.id.Rand.Float64() < c.cfg.TCP,
-		number: fmt.Sprintf("%s%05d", c.cfg.Classes[class].Prefix, c.id.Rand.IntN(c.cfg.Numbers)),
+	d := &dialled{class: class, first: c.now, tcp: c.draws.Float64() < c.cfg.TCP,
+		number: fmt.Sprintf("%s%05d", c.cfg.Classes[class].Prefix, c.draws.IntN(c.cfg.Numbers)),
 		caller: fmt.Sprintf("7%08d", c.serial)}
+	if c.cfg.Called != nil {
+		d.number = c.cfg.Called(class)
+	}
 	d.body = []byte("v=0\r\no=- 1 1 IN IP4 127.0.0.1\r\ns=-\r\nc=IN IP4 127.0.0.1\r\nt=0 0\r\nm=audio 4000 RTP/AVP 8\r\n")
-	if c.id.Rand.Float64() < c.cfg.Large {
+	if c.draws.Float64() < c.cfg.Large {
 		d.body = append(d.body, strings.Repeat("a=x-pad:0123456789012345678901234567890123456789\r\n", 30)...)
 	}
+	d.length = time.Duration(c.draws.ExpFloat64() * float64(c.cfg.Classes[class].Hold))
+	if c.cfg.Length != nil {
+		d.length = c.cfg.Length(class)
+	}
 	c.Counts[class].Offered++
 	c.open++
 	c.try(d)
@@ -207,9 +233,11 @@
 		d.owesCancel = true
 	}
 	d.tx.Quiet()
-	if d.leaving {
+	switch {
+	case d.returns:
+	case d.leaving:
 		c.Counts[d.class].Left++
-	} else {
+	default:
 		c.Counts[d.class].Unanswered++
 	}
 	c.finish(d)
@@ -257,9 +285,11 @@
 		c.heap.Set(&d.redial, c.now+wait, func() { c.try(d) })
 		return
 	}
-	if m.Status == 503 || m.Status == 480 {
+	switch {
+	case d.returns: // counted as cut already
+	case m.Status == 503 || m.Status == 480:
 		c.Counts[d.class].Refused++
-	} else {
+	default:
 		c.Counts[d.class].Failed++
 	}
 	c.finish(d)
@@ -285,12 +315,21 @@
 	if c.SetUp != nil {
 		c.SetUp(d.class, c.now-d.sent)
 	}
-	if c.now-d.first <= cl.Aim {
+	if d.returns {
+		if c.now-d.first <= cl.Aim {
+			c.Counts[d.class].Cut--
+			c.Counts[d.class].Returned++
+			if d.late {
+				c.Counts[d.class].CutLate--
+			}
+		}
+	} else if c.now-d.first <= cl.Aim {
 		c.Counts[d.class].InAim++
 	} else {
 		c.Counts[d.class].Late++
+		d.late = true
 	}
-	c.heap.Set(&d.hang, c.now+time.Duration(c.id.Rand.ExpFloat64()*float64(cl.Hold)), func() { c.bye(d) })
+	c.heap.Set(&d.hang, c.now+d.length, func() { c.bye(d) })
 }
 
 func (c *Callers) inDialog(d *dialled, method string, seq uint32) *sip.Message {
@@ -320,20 +359,41 @@
 	}
 	t.Respond(sip.NewResponse(m, 200, "", ""))
 	if m.Method == sip.BYE {
-		if m.Has("Reason") {
+		cut := m.Has("Reason")
+		if cut {
 			c.Counts[d.class].Cut++
+			if d.late {
+				c.Counts[d.class].CutLate++
+			}
 		}
 		c.finish(d)
+		if cut && c.cfg.Comes > 0 && !c.stopped {
+			c.again(d)
+		}
 	}
 }
 
+// again dials a call that was cut once more; it has its whole time from then on, and standing again it is no longer cut.
+func (c *Callers) again(old *dialled) {
+	d := &dialled{class: old.class, number: old.number, caller: old.caller, tcp: old.tcp, body: old.body,
+		length: old.length, returns: true, late: old.late}
+	c.open++
+	wait := time.Duration((0.5 + c.id.Rand.Float64()) * float64(c.cfg.Comes))
+	c.heap.Set(&d.redial, c.now+wait, func() {
+		d.first = c.now
+		c.try(d)
+	})
+}
+
 // Stray implements transaction.User.
 func (c *Callers) Stray(*sip.Message, sip.Peer) {}
 
 // TimedOut implements transaction.User.
 func (c *Callers) TimedOut(t *transaction.Client, _ error) {
 	if d, ok := t.User.(*dialled); ok && t == d.tx && !d.stood && !d.done {
-		c.Counts[d.class].Unanswered++
+		if !d.returns {
+			c.Counts[d.class].Unanswered++
+		}
 		c.finish(d)
 	}
 }
@@ -351,15 +411,23 @@
 	c.Unanswered += o.Unanswered
 	c.Left += o.Left
 	c.Cut += o.Cut
+	c.CutLate += o.CutLate
+	c.Returned += o.Returned
 	c.Redials += o.Redials
 }
 
+// Less is what has come since an earlier count.
+func (c ClassCounts) Less(o ClassCounts) ClassCounts {
+	return ClassCounts{c.Offered - o.Offered, c.InAim - o.InAim, c.Late - o.Late, c.Refused - o.Refused, c.Failed - o.Failed,
+		c.Unanswered - o.Unanswered, c.Left - o.Left, c.Cut - o.Cut, c.CutLate - o.CutLate, c.Returned - o.Returned, c.Redials - o.Redials}
+}
+
 // Served is the worth of the calls that stood in time and were not cut, over the worth offered.
 func Served(classes []CallerClass, counts []ClassCounts) float64 {
 	var got, all float64
 	for i, n := range counts {
 		cl := classes[i]
-		got += cl.Worth * (float64(n.InAim) + cl.Late*float64(n.Late) - float64(n.Cut))
+		got += cl.Worth * (float64(n.InAim) - float64(n.Cut) + float64(n.CutLate) + cl.Late*(float64(n.Late)-float64(n.CutLate)))
 		all += cl.Worth * float64(n.Offered-n.Left)
 	}
 	if all == 0 {
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -43,6 +43,8 @@
 	Notices int
 	Lie     func(size int) int                                       // told in place of the size, as a fault
 	LagOf   func(node string) time.Duration                          // more lag for some nodes, as a fault
+	LagFor  func(s pool.Server) time.Duration                        // more lag for some news
+	Wrong   func(s pool.Server) pool.Server                          // what is told of a server in place of the truth, as a fault
 	Tell    func(node string, d pool.Document) (pool.Document, bool) // what a node is told instead; false: nothing
 	members *membership.Ledger
 	saying  timers.Timer
@@ -82,7 +84,11 @@
 		l.started[s.ID] = l.now
 	}
 	var t timers.Timer
-	l.heap.Set(&t, l.now+l.cfg.Lag, func() {
+	lag := l.cfg.Lag
+	if l.LagFor != nil {
+		lag += l.LagFor(s)
+	}
+	l.heap.Set(&t, l.now+lag, func() {
 		l.servers[s.ID] = s
 		l.version++
 		if l.Skip > 0 {
@@ -100,9 +106,19 @@
 	if at, ok := l.started[s.ID]; ok {
 		s.AgeMs = max(1, (l.now - at).Milliseconds())
 	}
+	if l.Wrong != nil {
+		s = l.Wrong(s)
+	}
 	return s
 }
 
+// Retell tells all nodes the whole list anew, as after a change of what is told.
+func (l *ListServer) Retell() {
+	l.version++
+	d := l.full()
+	l.notifyAll(d)
+}
+
 func (l *ListServer) full() pool.Document {
 	d := pool.Document{Version: l.version, State: "full"}
 	for _, s := range l.servers {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -30,11 +30,23 @@
 	HangUp      float64       // share of the calls that the server ends
 	Hold        time.Duration // and after which time, on average
 	Busy        float64       // share of the set-ups that are answered 486
+
+	Vary        func() float64 // factor on each piece of work, with a mean of 1; nil: none
+	Queue       int            // more set-ups waiting than this are turned away; 0: no limit
+	Thrash      float64        // share of the speed that is lost for each ThrashAt jobs in the line
+	ThrashAt    int
+	ReportEvery time.Duration  // the wait that answers tell is so old at the most; 0: as it is
+	ReportNoise func() float64 // factor on it; nil: none
+	SetUpsFirst bool           // set-ups are taken before releases
+	Silent      bool           // answers tell no wait
+	Control     bool           // answers carry RFC 7339's oc for nodes that ask for it
+	Lines       int            // calls that can stand or be on their way at once; one more is turned away; 0: no limit
+	Refuse      int            // status of a refusal; 0: 503
 }
 
 // ServerCounts are what a call server saw.
 type ServerCounts struct {
-	SetUps, Stood, TurnedAway, Cancelled, Released, Repeats, Lost, Unacked uint64
+	SetUps, Stood, TurnedAway, Faulted, Muted, Cancelled, Released, Repeats, Lost, Unacked uint64
 }
 
 // Add sums up.
@@ -42,6 +54,8 @@
 	c.SetUps += o.SetUps
 	c.Stood += o.Stood
 	c.TurnedAway += o.TurnedAway
+	c.Faulted += o.Faulted
+	c.Muted += o.Muted
 	c.Cancelled += o.Cancelled
 	c.Released += o.Released
 	c.Repeats += o.Repeats
@@ -62,6 +76,7 @@
 	stallTo  time.Duration
 	loss     float64 // share of responses that are lost
 	busy     bool
+	doing    int // set-ups that the processor is at: 1 or none
 	busyTo   time.Duration
 	line     []job
 	work     timers.Timer
@@ -70,6 +85,12 @@
 	held     []sip.Packet    // unread in a stall
 	wake     timers.Timer
 	lastWait time.Duration
+	told     time.Duration // wait that answers tell
+	toldAt   time.Duration // and since when; -1: never yet
+	other    float64       // share of the processor that other work takes
+	faults   float64       // share of the set-ups that are answered 500
+	mute     bool          // set-ups are taken up and never answered
+	control  lossControl
 }
 
 // job is a piece of work in the line: a set-up, or what is done at its end.
@@ -97,7 +118,7 @@
 
 // NewServer makes a call server.
 func NewServer(cfg ServerConfig) *CallServer {
-	s := &CallServer{cfg: cfg, slow: 1, byTag: map[string]*session{}}
+	s := &CallServer{cfg: cfg, slow: 1, byTag: map[string]*session{}, toldAt: -1}
 	s.init(cfg.Address, cfg.Seed, s)
 	s.lose = func(m *sip.Message) bool {
 		if s.Over {
@@ -155,15 +176,47 @@
 // At lets the clock run up to now, so that Speed tells of it.
 func (s *CallServer) At(now time.Duration) { s.clock(now) }
 
-// Speed is what the processor does now, as a share of its capacity.
+// Speed is what the processor does now for calls, as a share of its capacity.
 func (s *CallServer) Speed() float64 {
+	speed := s.Unpressed()
+	if s.cfg.Thrash > 0 && s.cfg.ThrashAt > 0 && len(s.line) > s.cfg.ThrashAt {
+		speed /= 1 + s.cfg.Thrash*float64(len(s.line)-s.cfg.ThrashAt)/float64(s.cfg.ThrashAt)
+	}
+	return speed
+}
+
+// Unpressed is what the processor would do with nothing in its line.
+func (s *CallServer) Unpressed() float64 {
+	if s.now < s.stallTo {
+		return 0.001
+	}
+	return s.Warmth() * (1 - s.other) / s.slow
+}
+
+// Warmth is what its age leaves of its capacity.
+func (s *CallServer) Warmth() float64 {
 	warm := 1.0
 	if s.cfg.RampTime > 0 {
 		warm = min(1, float64(s.now-s.started)/float64(s.cfg.RampTime))
 	}
-	return (s.cfg.ColdShare + (1-s.cfg.ColdShare)*warm) / s.slow
+	return s.cfg.ColdShare + (1-s.cfg.ColdShare)*warm
 }
 
+// Line is how many pieces of work wait.
+func (s *CallServer) Line() int { return len(s.line) }
+
+// Other lets other work take a share of the processor; 0 ends that.
+func (s *CallServer) Other(share float64) { s.other = min(max(share, 0), 0.99) }
+
+// Fault lets a share of the set-ups be answered 500; 0 ends that.
+func (s *CallServer) Fault(share float64) { s.faults = share }
+
+// IsMute says whether set-ups are taken up and not answered.
+func (s *CallServer) IsMute() bool { return s.mute }
+
+// Mute lets set-ups be taken up and never answered; false ends that, and what was taken up meanwhile stays so.
+func (s *CallServer) Mute(on bool) { s.mute = on }
+
 // Wait is how long a set-up that comes now will wait.
 func (s *CallServer) Wait() time.Duration {
 	var sum time.Duration
@@ -196,7 +249,7 @@
 			n++
 		}
 	}
-	budget := s.cfg.TipMultiple * s.Speed() * s.slow * s.cfg.Capacity() * s.cfg.OverloadFor.Seconds()
+	budget := s.cfg.TipMultiple * s.Warmth() * s.cfg.Capacity() * s.cfg.OverloadFor.Seconds()
 	if float64(n) > budget+4 {
 		s.Over, s.OverAt = true, s.now
 	}
@@ -243,20 +296,56 @@
 
 func (s *CallServer) response(req *sip.Message, status int, tag string) *sip.Message {
 	r := sip.NewResponse(req, status, "", tag)
-	r.Add(sip.LatencyHeader, strconv.FormatFloat(float64(s.lastWait)/1e6, 'f', 1, 64))
+	if !s.cfg.Silent {
+		r.Add(sip.LatencyHeader, strconv.FormatFloat(float64(s.tell())/1e6, 'f', 1, 64))
+	}
+	if s.cfg.Control {
+		s.control.mark(s, r)
+	}
 	return r
 }
 
+// tell is the wait that an answer tells: fresh, or as it was when it was last looked at.
+func (s *CallServer) tell() time.Duration {
+	if s.cfg.ReportEvery <= 0 && s.cfg.ReportNoise == nil {
+		return s.lastWait
+	}
+	if s.toldAt < 0 || s.now-s.toldAt >= s.cfg.ReportEvery {
+		s.told, s.toldAt = s.lastWait, s.now
+		if s.cfg.ReportNoise != nil {
+			s.told = time.Duration(float64(s.told) * max(0, s.cfg.ReportNoise()))
+		}
+	}
+	return s.told
+}
+
 func (s *CallServer) invite(t *transaction.Server, m *sip.Message) {
 	s.Count.SetUps++
 	s.pushed()
 	wait := s.Wait()
 	s.lastWait = wait
-	if s.cfg.MaxWait > 0 && wait > s.cfg.MaxWait {
+	if s.faults > 0 && s.id.Rand.Float64() < s.faults {
+		s.Count.Faulted++
+		s.push(job{work: s.cfg.Refusal, done: func() {}})
+		t.Respond(s.response(m, 500, s.id.Token()))
+		return
+	}
+	if s.cfg.Lines > 0 && len(s.byTag)+s.setUps()+s.doing >= s.cfg.Lines {
 		s.Count.TurnedAway++
-		s.line = append(s.line, job{work: s.cfg.Refusal, done: func() {}})
-		s.run()
+		s.push(job{work: s.cfg.Refusal, done: func() {}})
 		r := s.response(m, 503, s.id.Token())
+		r.Add("Reason", "Q.850;cause=34;text=\"no circuit available\"")
+		t.Respond(r)
+		return
+	}
+	if s.cfg.MaxWait > 0 && wait > s.cfg.MaxWait || s.cfg.Queue > 0 && s.setUps() >= s.cfg.Queue {
+		s.Count.TurnedAway++
+		s.push(job{work: s.cfg.Refusal, done: func() {}})
+		status := s.cfg.Refuse
+		if status == 0 {
+			status = 503
+		}
+		r := s.response(m, status, s.id.Token())
 		r.Add("Retry-After", strconv.Itoa(int(wait/time.Second)+1))
 		t.Respond(r)
 		return
@@ -265,10 +354,40 @@
 	c := &session{tx: t, req: m, tag: s.id.Token(), taken: s.now, peerTag: m.Tag("From"), seq: seq, cost: s.cfg.SetUp}
 	t.User = c
 	t.Respond(s.response(m, 100, ""))
-	s.line = append(s.line, job{setUp: c, work: c.cost})
+	if s.mute {
+		s.Count.Muted++
+		return
+	}
+	s.push(job{setUp: c, work: c.cost})
+}
+
+// push puts work into the line.
+func (s *CallServer) push(j job) {
+	if s.cfg.Vary != nil {
+		j.work = time.Duration(float64(j.work) * s.cfg.Vary())
+	}
+	if j.setUp != nil && s.cfg.SetUpsFirst {
+		i := 0
+		for i < len(s.line) && s.line[i].setUp != nil {
+			i++
+		}
+		s.line = slices.Insert(s.line, i, j)
+	} else {
+		s.line = append(s.line, j)
+	}
 	s.run()
 }
 
+// setUps is how many set-ups wait.
+func (s *CallServer) setUps() (n int) {
+	for i := range s.line {
+		if s.line[i].setUp != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // again answers a re-INVITE: the session is as it was.
 func (s *CallServer) again(t *transaction.Server, m *sip.Message) {
 	c := s.byTag[m.Tag("To")]
@@ -317,7 +436,8 @@
 			r.Add("Contact", s.id.Contact(c.tx.From.Transport))
 			c.tx.Respond(r)
 		}
-		done = func() { s.stood(c) }
+		s.doing = 1
+		done = func() { s.doing = 0; s.stood(c) }
 	}
 	s.busy = true
 	s.busyTo = s.now + time.Duration(float64(work)/s.Speed())
@@ -389,11 +509,10 @@
 		return
 	}
 	s.end(c)
-	s.line = append(s.line, job{work: s.cfg.Release, done: func() {
+	s.push(job{work: s.cfg.Release, done: func() {
 		s.Count.Released++
 		t.Respond(s.response(m, 200, ""))
 	}})
-	s.run()
 }
 
 // hangUp ends a standing call from the server's side.
@@ -420,14 +539,19 @@
 func (s *CallServer) Standing() int { return len(s.byTag) }
 
 // CutAll ends all standing calls, as a drained server does when it stops.
-func (s *CallServer) CutAll() {
+func (s *CallServer) CutAll() { s.Cut(1) }
+
+// Cut ends a share of the standing calls.
+func (s *CallServer) Cut(share float64) {
 	var all []*session
 	for _, c := range s.byTag {
 		all = append(all, c)
 	}
 	slices.SortFunc(all, func(a, b *session) int { return strings.Compare(a.tag, b.tag) })
 	for _, c := range all {
-		s.hangUp(c, "SIP;cause=503;text=\"stopping\"")
+		if share >= 1 || s.id.Rand.Float64() < share {
+			s.hangUp(c, "SIP;cause=503;text=\"stopping\"")
+		}
 	}
 }
 
--- a/internal/tomlfile/read.go
+++ b/internal/tomlfile/read.go
@@ -57,6 +57,8 @@
 		return "it has to be given"
 	case "hostport":
 		return "a numeric host:port is right, as 127.0.0.1:5060"
+	case "lt":
+		return "less than " + e.Param() + " is right"
 	case "gt":
 		return "more than " + e.Param() + " is right"
 	case "gte":
--- a/internal/virtual/net.go
+++ b/internal/virtual/net.go
@@ -18,17 +18,32 @@
 	Delay  time.Duration // one way
 	Jitter time.Duration // more, at the most, drawn evenly
 	// Drop, if set, says whether a datagram is lost on its way.
-	Drop  func(now time.Duration, from, to netip.AddrPort, m *sip.Message) bool
-	rng   *rand.Rand
-	now   time.Duration
-	queue events
-	seq   uint64
-	hosts map[string]*host
-	order []*host
-	at    map[netip.AddrPort]*host
-	conns map[uint64]*conn
-	open  map[connKey]*conn // by who opened them and to where
-	count uint64
+	Drop func(now time.Duration, from, to netip.AddrPort, m *sip.Message) bool
+	// Path, if set, says what more the way between two hosts does to a message.
+	Path func(now time.Duration, from, to netip.AddrPort) Path
+	// Missed, if set, is told of each message that does not get there in its time: until then, or never where that is 0.
+	Missed func(now, until time.Duration, from netip.AddrPort, to sip.Peer, m *sip.Message)
+	// Accepts, if set, says whether a host takes one more connection, given how many it holds; otherwise it is refused.
+	Accepts func(to netip.AddrPort, held int) bool
+	// Refuses, if set, says whether a host that is up refuses what comes to it now, as if nobody listened.
+	Refuses func(to netip.AddrPort) bool
+	rng     *rand.Rand
+	now     time.Duration
+	queue   events
+	seq     uint64
+	hosts   map[string]*host
+	order   []*host
+	at      map[netip.AddrPort]*host
+	conns   map[uint64]*conn
+	open    map[connKey]*conn // by who opened them and to where
+	count   uint64
+}
+
+// Path is what a way between two hosts does beyond the network's own delay.
+type Path struct {
+	Delay time.Duration // more
+	Lost  bool          // a datagram is lost; what goes over a connection waits
+	Until time.Duration // and until when
 }
 
 type connKey struct {
@@ -53,6 +68,7 @@
 	id   uint64
 	ends [2]*host
 	port [2]netip.AddrPort
+	last [2]time.Duration // what was sent last arrives then, by end: a connection keeps order
 	open bool
 }
 
@@ -220,14 +236,31 @@
 			dst.act.Receive(n.now, sip.Packet{Peer: from, Msg: msg, Err: err})
 		})
 	}
+	src := h.addrs[0]
+	var way Path
+	if n.Path != nil {
+		dst := to.Addr
+		if c := n.conns[to.Conn]; c != nil && to.Conn != 0 { // by the hosts, not by the port of one connection
+			other := c.ends[1]
+			if other == h {
+				other = c.ends[0]
+			}
+			dst = other.addrs[0]
+		}
+		way = n.Path(n.now, src, dst)
+	}
 	if to.Transport == sip.UDP {
-		src := h.addrs[0]
-		if n.Drop != nil && n.Drop(n.now, src, to.Addr, m) {
+		if way.Lost || n.Drop != nil && n.Drop(n.now, src, to.Addr, m) {
+			n.missed(0, src, to, m)
 			return
 		}
-		n.At(n.later(), func() {
+		at := n.later() + way.Delay
+		if way.Delay > 0 {
+			n.missed(at, src, to, m)
+		}
+		n.At(at, func() {
 			dst := n.at[to.Addr]
-			if dst == nil {
+			if dst == nil || n.Refuses != nil && n.Refuses(to.Addr) {
 				n.At(n.later(), func() {
 					n.deliver(h, func() {
 						h.act.Lost(n.now, to, &sip.SendError{Branch: m.Branch(), Err: fmt.Errorf("%v: %w", to, sip.ErrRefused)})
@@ -251,11 +284,36 @@
 		end = 1
 	}
 	dst, from := c.ends[1-end], sip.Peer{Transport: sip.TCP, Addr: c.port[end], Conn: c.id}
-	n.At(n.now+n.Delay, func() { // in order: no jitter on a connection
+	at := n.now + n.Delay + way.Delay
+	if way.Lost {
+		at = max(at, way.Until+n.Delay)
+	}
+	c.last[end] = max(at, c.last[end]) // in order: no jitter on a connection
+	if c.last[end] > n.now+n.Delay {
+		n.missed(c.last[end], src, to, m)
+	}
+	n.At(c.last[end], func() {
 		read(dst, from) // also when its sender has died meanwhile: the kernel had it already
 	})
 }
 
+func (n *Net) missed(until time.Duration, from netip.AddrPort, to sip.Peer, m *sip.Message) {
+	if n.Missed != nil {
+		n.Missed(n.now, until, from, to, m)
+	}
+}
+
+// held is how many connections to a host are open.
+func (n *Net) held(h *host) int {
+	k := 0
+	for _, c := range n.open {
+		if c.open && c.ends[1] == h {
+			k++
+		}
+	}
+	return k
+}
+
 func (n *Net) connection(h *host, to sip.Peer) *conn {
 	if to.Conn != 0 {
 		if c := n.conns[to.Conn]; c != nil && c.open {
@@ -270,6 +328,12 @@
 	if dst == nil {
 		return nil
 	}
+	if n.Refuses != nil && n.Refuses(to.Addr) {
+		return nil
+	}
+	if n.Accepts != nil && !n.Accepts(to.Addr, n.held(dst)) {
+		return nil
+	}
 	n.count++
 	c := &conn{id: n.count, ends: [2]*host{h, dst}, open: true}
 	c.port[0] = netip.AddrPortFrom(h.addrs[0].Addr(), uint16(20000+n.count%40000))
