--- a/cmd/larkrouter/main.go
+++ b/cmd/larkrouter/main.go
@@ -20,6 +20,7 @@
 	SNMP    snmpCmd    `cmd:"" name:"snmp" help:"Ask an SNMP agent; print the MIB."`
 	Store   storeCmd   `cmd:"" help:"Look at, check, compact, back up and restore a store."`
 	Fleet   fleetCmd   `cmd:"" help:"Play a day of a whole fleet, in virtual time or on loopback, and check the rules over all nodes."`
+	Lab     labCmd     `cmd:"" help:"Experiments: sets of days, sweeps, comparisons, hunts, reports."`
 	Reload  reloadCmd  `cmd:"" help:"Let a node read its configuration again, whole or not at all."`
 	Upgrade upgradeCmd `cmd:"" help:"Let a node hand its sockets to a new process of the program as it is installed now."`
 	Stop    stopCmd    `cmd:"" help:"Let a node take no more calls and end when those it has are over."`
--- a/internal/day/trouble.go
+++ b/internal/day/trouble.go
@@ -10,26 +10,26 @@
 // Trouble is one thing that goes wrong, or that operators do.
 type Trouble struct {
 	What    string   `toml:"what" validate:"required"`
-	At      float64  `toml:"at" validate:"gte=0,lte=1"`      // share of the day
-	After   Duration `toml:"after" validate:"gte=0"`         // and so long after that
-	Nodes   float64  `toml:"nodes" validate:"gte=0,lte=1"`   // share of the nodes that it is about
-	Servers float64  `toml:"servers" validate:"gte=0,lte=1"` // share of the servers
-	Server  int      `toml:"server" validate:"gte=0"`        // the server, from 0
-	For     Duration `toml:"for" validate:"gte=0"`
-	Down    Duration `toml:"down" validate:"gte=0"`   // from the end to the next start
-	Spread  Duration `toml:"spread" validate:"gte=0"` // one after another over this time
-	Wait    Duration `toml:"wait" validate:"gte=0"`   // for calls to end by themselves
-	Share   float64  `toml:"share" validate:"gte=0,lte=1"`
-	Factor  float64  `toml:"factor" validate:"gte=0,lte=1000"`
-	Times   int      `toml:"times" validate:"gte=0,lte=1000"`
-	Every   Duration `toml:"every" validate:"gte=0"`
-	By      Duration `toml:"by"`
-	Sizes   []int    `toml:"sizes"`
-	Older   bool     `toml:"older"` // the list server is back with an older version
-	From    string   `toml:"from" validate:"omitempty,oneof=callers nodes servers list"`
-	To      string   `toml:"to" validate:"omitempty,oneof=callers nodes servers list"`
-	Limit   int      `toml:"limit" validate:"gte=0,lte=100000"`
-	As      string   `toml:"as" validate:"omitempty,oneof=ready draining gone"` // what the list says of a server
+	At      float64  `toml:"at,omitempty" validate:"gte=0,lte=1"`      // share of the day
+	After   Duration `toml:"after,omitempty" validate:"gte=0"`         // and so long after that
+	Nodes   float64  `toml:"nodes,omitempty" validate:"gte=0,lte=1"`   // share of the nodes that it is about
+	Servers float64  `toml:"servers,omitempty" validate:"gte=0,lte=1"` // share of the servers
+	Server  int      `toml:"server,omitempty" validate:"gte=0"`        // the server, from 0
+	For     Duration `toml:"for,omitempty" validate:"gte=0"`
+	Down    Duration `toml:"down,omitempty" validate:"gte=0"`   // from the end to the next start
+	Spread  Duration `toml:"spread,omitempty" validate:"gte=0"` // one after another over this time
+	Wait    Duration `toml:"wait,omitempty" validate:"gte=0"`   // for calls to end by themselves
+	Share   float64  `toml:"share,omitempty" validate:"gte=0,lte=1"`
+	Factor  float64  `toml:"factor,omitempty" validate:"gte=0,lte=1000"`
+	Times   int      `toml:"times,omitempty" validate:"gte=0,lte=1000"`
+	Every   Duration `toml:"every,omitempty" validate:"gte=0"`
+	By      Duration `toml:"by,omitempty"`
+	Sizes   []int    `toml:"sizes,omitempty"`
+	Older   bool     `toml:"older,omitempty"` // the list server is back with an older version
+	From    string   `toml:"from,omitempty" validate:"omitempty,oneof=callers nodes servers list"`
+	To      string   `toml:"to,omitempty" validate:"omitempty,oneof=callers nodes servers list"`
+	Limit   int      `toml:"limit,omitempty" validate:"gte=0,lte=100000"`
+	As      string   `toml:"as,omitempty" validate:"omitempty,oneof=ready draining gone"` // what the list says of a server
 }
 
 // kind is what a trouble takes: the keys that it needs, and those that it may have.
@@ -131,3 +131,9 @@
 func (f *File) Weathered() bool {
 	return f.Network.Loss > 0 || slices.ContainsFunc(f.Trouble, func(t Trouble) bool { return OfNetwork(t.What) })
 }
+
+// Keys are what a kind of trouble needs, and what else it may have.
+func Keys(what string) (needs, may []string) {
+	k := kinds[what]
+	return k.needs, k.may
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -445,6 +445,9 @@
 // End is how long the day lasts, its last calls included.
 func (f *Fleet) End() time.Duration { return f.length + 10*time.Second }
 
+// Length is how long callers dial.
+func (f *Fleet) Length() time.Duration { return f.length }
+
 // Fallen is how many servers were pushed over.
 func (f *Fleet) Fallen() int {
 	n := f.fell
--- a/internal/fleet/parties.go
+++ b/internal/fleet/parties.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"larkrouter"
 	"larkrouter/internal/baseline"
 	"larkrouter/internal/demo"
 	"larkrouter/internal/emulator"
@@ -124,12 +125,12 @@
 		n, err := f.planted(cfg)
 		return n, nil, err
 	}
-	p, err := baseline.New(f.opt.Policy, cfg.Settings, cfg.Seed, f.world)
-	if err != nil {
-		return nil, nil, err
-	}
-	loss, _ := p.(*baseline.Loss)
-	n, err := node.NewWith(cfg, p)
+	var loss *baseline.Loss
+	n, err := node.NewFrom(cfg, func(s larkrouter.Settings, seed uint64) (node.Decider, error) {
+		p, err := baseline.New(f.opt.Policy, s, seed, f.world)
+		loss, _ = p.(*baseline.Loss)
+		return p, err
+	})
 	return n, loss, err
 }
 
--- a/internal/fleet/planted.go
+++ b/internal/fleet/planted.go
@@ -9,7 +9,7 @@
 
 // Planted is a fault planted in a node's module, to see whether it is found: it takes what the module wants done and
 // gives back what is done in its place.
-type Planted func(now time.Duration, acts []larkrouter.Action) []larkrouter.Action
+type Planted func(now time.Duration, ev larkrouter.Event, acts []larkrouter.Action) []larkrouter.Action
 
 type faulty struct {
 	*larkrouter.Controller
@@ -18,13 +18,12 @@
 
 // Handle implements node.Decider.
 func (p *faulty) Handle(now time.Duration, ev larkrouter.Event) []larkrouter.Action {
-	return p.fault(now, p.Controller.Handle(now, ev))
+	return p.fault(now, ev, p.Controller.Handle(now, ev))
 }
 
 func (f *Fleet) planted(cfg node.Config) (*node.Node, error) {
-	c, err := larkrouter.New(cfg.Settings, cfg.Seed)
-	if err != nil {
-		return nil, err
-	}
-	return node.NewWith(cfg, &faulty{c, f.opt.Break})
+	return node.NewFrom(cfg, func(s larkrouter.Settings, seed uint64) (node.Decider, error) {
+		c, err := larkrouter.New(s, seed)
+		return &faulty{c, f.opt.Break}, err
+	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,14 +58,19 @@
 
 // New makes a node with the project's module.
 func New(cfg Config) (*Node, error) {
+	return NewFrom(cfg, func(s larkrouter.Settings, seed uint64) (Decider, error) { return larkrouter.New(s, seed) })
+}
+
+// NewFrom makes a node around a module that is made from the settings as the node fills them in.
+func NewFrom(cfg Config, module func(larkrouter.Settings, uint64) (Decider, error)) (*Node, error) {
 	if err := cfg.fill(); err != nil {
 		return nil, err
 	}
-	module, err := larkrouter.New(cfg.Settings, cfg.Seed)
+	m, err := module(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
-	return NewWith(cfg, module)
+	return NewWith(cfg, m)
 }
 
 // NewWith makes a node around a module given.
