Releases after a kill give way to new calls; replay with real processes; what a store holds

The module's mean answered rate goes on from what an earlier life knew. The checker takes what is held on a connection as sent when it was.

--- a/cmd/larkrouter/lab.go
+++ b/cmd/larkrouter/lab.go
@@ -28,6 +28,7 @@
 	Sweep   labSweepCmd   `cmd:"" help:"Play a grid over any keys of a day: load, sizes, figures of the nodes."`
 	Compare labCompareCmd `cmd:"" help:"Play the same days with two settings, policies or builds, paired by seed."`
 	Hunt    labHuntCmd    `cmd:"" help:"Search for the days on which the module does worst or breaks a rule, and cut them down."`
+	Replay  labReplayCmd  `cmd:"" help:"Play a day on loopback sockets in the time that it takes, every node a process of the program."`
 	Report  labReportCmd  `cmd:"" help:"Draw kept results as one HTML page."`
 }
 
@@ -175,7 +176,7 @@
 type labRunCmd struct {
 	labDays
 	Seeds    int      `default:"8" help:"How many seeds."`
-	Policies []string `default:"module" help:"module, random, least-delay, token-gate, loss, oracle."`
+	Policies []string `default:"module" help:"module, random, first-choice, least-delay, token-gate, window, loss, oracle."`
 }
 
 func (c *labRunCmd) Run() error {
--- a/controller.go
+++ b/controller.go
@@ -223,6 +223,7 @@
 	offered         float64 // new calls a second, for all servers: what could be drawn to one of them
 	mean            float64 // mean worth of a new call
 	pooled          float64 // answered set-ups a second of a warm server of mean size
+	goesOn          bool    // pooled began with what an earlier life knew
 	ref             float64 // the most that one was seen to answer, for a cold one's share
 	meanSize, least float64 // sizes that the servers tell
 	line            []*call // of the held: they wait for an answer of any server
@@ -290,12 +291,14 @@
 // onRemembered takes what an earlier life knew. A capacity is a hint of size; a gate that was low begins
 // there and grows as any does; a delay is not believed at all: the first answer tells it.
 func (c *Controller) onRemembered(ev Remembered) {
+	sum, n := 0.0, 0.0
 	for _, m := range ev.Servers {
 		s := c.byID[m.ID]
 		if s == nil || s.Phase != Ready || s.coldAt >= 0 || !(m.Best >= 0 && m.Rate >= 0) ||
 			math.IsInf(m.Best, 1) {
 			continue
 		}
+		sum, n = sum+m.Best/c.share(s), n+1
 		s.best = max(s.best, m.Best)
 		c.ref = max(c.ref, s.best/c.share(s))
 		if m.Rate > 0 && m.Rate < s.rate {
@@ -303,6 +306,9 @@
 			s.tokens = min(s.tokens, c.rng.Float64())
 		}
 	}
+	if n > 0 && sum/n > coldOver*c.pooled { // the mean goes on from there: no answer yet is no news
+		c.pooled, c.goesOn = sum/n/coldOver, true
+	}
 }
 
 func (c *Controller) act(a Action) { c.acts = append(c.acts, a) }
@@ -912,8 +918,12 @@
 			n, recent = n+c.share(s), recent+s.recent
 		}
 	}
+	gain := c.t0.Seconds() / steadyRate.Seconds()
+	if !c.goesOn {
+		gain = max(gain, 1/float64(c.slot))
+	}
 	if c.ref *= 1 - c.t0.Seconds()/refTime.Seconds(); n > 0 {
-		c.pooled += (recent/n - c.pooled) * max(c.t0.Seconds()/steadyRate.Seconds(), 1/float64(c.slot))
+		c.pooled += (recent/n - c.pooled) * gain
 	}
 }
 
--- a/internal/baseline/frame.go
+++ b/internal/baseline/frame.go
@@ -27,17 +27,19 @@
 type call struct {
 	larkrouter.Call
 	until    time.Duration // its try's deadline
+	came     time.Duration
 	attempts int
 	to       *server // of the attempt out; nil: none
 	sent     time.Duration
 	standing bool
-	waits    bool // for the release guard
+	waits    bool // for the release guard, or held
 }
 
 // policy is what differs.
 type policy interface {
-	// choose is the server for a call's next attempt, or nil to refuse it.
-	choose(f *frame, c *call) *server
+	// choose is the server for a call's next attempt, or nil: then hold is how long the call waits before it is chosen for
+	// again, or 0 to refuse it.
+	choose(f *frame, c *call) (s *server, hold time.Duration)
 	// sent, stood and failed tell how attempts go.
 	sent(f *frame, s *server)
 	stood(f *frame, s *server, elapsed time.Duration)
@@ -56,6 +58,7 @@
 	acts  []larkrouter.Action
 	p     policy
 	asked bool // for the list
+	once  bool // a call has one attempt
 }
 
 func newFrame(s larkrouter.Settings, seed uint64, p policy) *frame {
@@ -78,7 +81,7 @@
 	case larkrouter.Reconfigured:
 		f.set = ev.Settings
 	case larkrouter.Call:
-		c := &call{Call: ev, until: now + ev.Left}
+		c := &call{Call: ev, until: now + ev.Left, came: now}
 		f.calls[ev.ID] = c
 		f.act(larkrouter.Wake{Cookie: 2 * ev.ID, After: max(0, ev.Left-early)})
 		f.try(c)
@@ -136,11 +139,16 @@
 }
 
 func (f *frame) try(c *call) {
-	if f.now >= c.until-early || f.set.MaxAttempts > 0 && c.attempts >= f.set.MaxAttempts {
+	if f.now >= c.until-early || f.set.MaxAttempts > 0 && c.attempts >= f.set.MaxAttempts || f.once && c.attempts > 0 {
 		f.refuse(c)
 		return
 	}
-	s := f.p.choose(f, c)
+	s, hold := f.p.choose(f, c)
+	if s == nil && hold > 0 {
+		c.waits = true
+		f.act(larkrouter.Wake{Cookie: 2*c.ID + 1, After: hold})
+		return
+	}
 	if s == nil {
 		f.refuse(c)
 		return
@@ -148,7 +156,13 @@
 	c.to, c.sent = s, f.now
 	s.out++
 	f.p.sent(f, s)
-	f.act(larkrouter.Attempt{Call: c.ID, Server: s.ID, Timeout: min(f.set.Classes[c.Class].Aim, c.until-f.now)})
+	limit := c.until - f.now
+	if f.once { // one attempt, for as long as its caller waits
+		limit -= early
+	} else {
+		limit = min(f.set.Classes[c.Class].Aim, limit)
+	}
+	f.act(larkrouter.Attempt{Call: c.ID, Server: s.ID, Timeout: limit})
 	c.attempts++
 }
 
--- a/internal/baseline/loss.go
+++ b/internal/baseline/loss.go
@@ -58,10 +58,10 @@
 
 // choose takes some server and holds the call back by what it told (section 7.2): all that is asked for comes out of the
 // lower category as far as that has so much.
-func (l *Loss) choose(f *frame, c *call) *server {
+func (l *Loss) choose(f *frame, c *call) (*server, time.Duration) {
 	s := f.some()
 	if s == nil {
-		return nil
+		return nil, 0
 	}
 	mean, shares := 0.0, 0.0
 	for i := range f.set.Classes {
@@ -76,7 +76,7 @@
 		l.low++
 	}
 	if f.now > s.loss.until || s.loss.share <= 0 {
-		return s
+		return s, 0
 	}
 	want, low := s.loss.share, l.low/l.all
 	drop := 0.0
@@ -87,7 +87,7 @@
 		drop = (want - low) / (1 - low)
 	}
 	if f.rng.Float64() < drop {
-		return nil
+		return nil, 0
 	}
-	return s
+	return s, 0
 }
--- a/internal/baseline/policies.go
+++ b/internal/baseline/policies.go
@@ -15,7 +15,7 @@
 }
 
 // Names of the baselines, from the least to the most that could be.
-var Names = []string{"random", "least-delay", "token-gate", "loss", "oracle"}
+var Names = []string{"random", "first-choice", "least-delay", "token-gate", "window", "loss", "oracle"}
 
 // New makes a baseline for one node. World is the oracle's, shared by all nodes; others take nil.
 func New(name string, s larkrouter.Settings, seed uint64, w *World) (Decider, error) {
@@ -25,6 +25,10 @@
 	switch name {
 	case "random":
 		return newFrame(s, seed, atRandom{}), nil
+	case "first-choice":
+		return once(newFrame(s, seed, firstChoice{})), nil
+	case "window":
+		return once(newFrame(s, seed, window{})), nil
 	case "least-delay":
 		return newFrame(s, seed, &leastDelay{}), nil
 	case "token-gate":
@@ -42,6 +46,11 @@
 	return nil, fmt.Errorf("baseline: there is no %q: one of %s is right", name, strings.Join(Names, ", "))
 }
 
+func once(f *frame) *frame {
+	f.once = true
+	return f
+}
+
 // some is one of the ready servers, by chance.
 func (f *frame) some() *server {
 	if r := f.ready(); len(r) > 0 {
@@ -60,7 +69,55 @@
 // atRandom sends every call to some ready server.
 type atRandom struct{ quiet }
 
-func (atRandom) choose(f *frame, _ *call) *server { return f.some() }
+func (atRandom) choose(f *frame, _ *call) (*server, time.Duration) { return f.some(), 0 }
+
+// firstChoice sends a call to the server that its number names, and to some other one where that does not run.
+type firstChoice struct{ quiet }
+
+func (firstChoice) choose(f *frame, c *call) (*server, time.Duration) {
+	for _, s := range f.ready() {
+		if s.Number == c.Destination && c.attempts == 0 {
+			return s, 0
+		}
+	}
+	return f.some(), 0
+}
+
+// window lets so many set-ups stand unanswered at each server: one more for each window's worth that stood in time, a
+// third fewer, once a hold, when one did not. A call goes to its first choice, else where most of a window is free.
+type window struct{ quiet }
+
+func (window) choose(f *frame, c *call) (*server, time.Duration) {
+	var best *server
+	most := 0.0
+	for _, s := range f.ready() {
+		if s.rate == 0 {
+			s.rate = 2
+		}
+		free := s.rate - float64(s.out)
+		if free >= 1 && s.Number == c.Destination {
+			return s, 0
+		}
+		if free >= 1 && free > most {
+			best, most = s, free
+		}
+	}
+	return best, 0
+}
+
+func (w window) stood(f *frame, s *server, d time.Duration) {
+	if d > f.set.Classes[0].Aim/2 {
+		w.failed(f, s, larkrouter.TimedOut)
+		return
+	}
+	s.rate += 1 / max(s.rate, 1)
+}
+
+func (window) failed(f *frame, s *server, _ larkrouter.Outcome) {
+	if f.now-s.loss.at > gateHold { // its own clock of cuts
+		s.rate, s.loss.at = max(s.rate*0.67, 1), f.now
+	}
+}
 
 // leastDelay sends a call where answers have come soonest, counting what it has out there itself.
 type leastDelay struct{ quiet }
@@ -68,7 +125,7 @@
 // smooth is the weight of the newest delay.
 const smooth = 0.2
 
-func (leastDelay) choose(f *frame, _ *call) *server {
+func (leastDelay) choose(f *frame, _ *call) (*server, time.Duration) {
 	var best *server
 	least := math.Inf(1)
 	for _, s := range f.ready() {
@@ -76,7 +133,7 @@
 			best, least = s, d
 		}
 	}
-	return best
+	return best, 0
 }
 
 func (leastDelay) stood(_ *frame, s *server, d time.Duration) {
@@ -99,7 +156,7 @@
 	gateBurst = 2.0
 )
 
-func (tokenGate) choose(f *frame, _ *call) *server {
+func (tokenGate) choose(f *frame, _ *call) (*server, time.Duration) {
 	var best *server
 	for _, s := range f.ready() {
 		if s.rate == 0 {
@@ -111,7 +168,7 @@
 			best = s
 		}
 	}
-	return best
+	return best, 0
 }
 
 func (tokenGate) sent(_ *frame, s *server) { s.room-- }
--- a/internal/day/parts.go
+++ b/internal/day/parts.go
@@ -46,6 +46,7 @@
 	Redials   int      `toml:"redials" validate:"gte=0,lte=20"`
 	Back      Duration `toml:"back" validate:"gt=0"` // mean wait before one
 	TCP       float64  `toml:"tcp" validate:"gte=0,lte=1"`
+	Large     float64  `toml:"large" validate:"gte=0,lte=1"`     // share whose set-ups are too large for a datagram
 	Impatient float64  `toml:"impatient" validate:"gte=0,lte=1"` // share that leaves early
 	Comes     Duration `toml:"comes_again" validate:"gte=0"`     // a call that was cut is dialled again after this; 0: not
 }
--- a/internal/demo/stage.go
+++ b/internal/demo/stage.go
@@ -22,6 +22,7 @@
 	Kind string // "caller", "server", "node", "list": whose socket a capture shows
 	Addr netip.AddrPort
 	Act  actor.Actor
+	Tap  actor.Tap // sees what its socket does, beside the capture; nil: nobody
 }
 
 // Stage is where the parties meet: sockets or the virtual network.
@@ -78,7 +79,7 @@
 
 func (r *Recorder) tap(p Party) actor.Tap {
 	if p.Kind != "caller" && p.Kind != "server" {
-		return nil
+		return p.Tap
 	}
 	self := p.Addr.String()
 	return func(now time.Duration, dir actor.Direction, peer sip.Peer, m *sip.Message) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -30,13 +30,14 @@
 
 // Options say where and with what chance a day is played.
 type Options struct {
-	Day    *day.File
-	Seed   uint64
-	Say    func(at time.Duration, what string)
-	Policy string                           // "" or Module: the project's own; else one of baseline.Names
-	Sample func(Sample)                     // told of each second
-	SetUp  func(class int, d time.Duration) // told how long each call took to stand
-	Break  Planted                          // a fault planted in the nodes, to see whether it is found
+	Day      *day.File
+	Seed     uint64
+	Say      func(at time.Duration, what string)
+	Policy   string                           // "" or Module: the project's own; else one of baseline.Names
+	Sample   func(Sample)                     // told of each second
+	SetUp    func(class int, d time.Duration) // told how long each call took to stand
+	LogLevel string                           // of nodes that are processes; "": warn
+	Break    Planted                          // a fault planted in the nodes, to see whether it is found
 }
 
 // Module is the policy that serves.
@@ -67,6 +68,7 @@
 	refused  map[netip.AddrPort]bool
 	world    *baseline.World
 	begin    time.Duration
+	procs    *processes // nil: the nodes are in this process
 	last     Sample
 	length   time.Duration
 	stage    demo.Stage
@@ -79,7 +81,8 @@
 	nodeAt   []netip.AddrPort
 	lives    []uint64
 	down     []bool
-	kept     []*recall.Kept  // what each node's store would have
+	kept     []*recall.Kept // what each node's store would have, and
+	stores   *stores
 	clocks   []time.Duration // how far each node's wall clock is off
 	limits   []int           // attempts a call by each node's configuration
 	servers  []*server
@@ -133,7 +136,10 @@
 	return f, stage, f.boot()
 }
 
-func (f *Fleet) note(_ string, _ time.Duration, note any) {
+func (f *Fleet) note(name string, _ time.Duration, note any) {
+	if j, ok := note.(*node.Journal); ok {
+		f.stores.journal(name, j)
+	}
 	if r, ok := note.(*node.Record); ok && r.Event == "assert" {
 		atomic.AddUint64(&f.Asserts, 1)
 	}
@@ -141,7 +147,7 @@
 
 func newFleet(opt Options) *Fleet {
 	f := &Fleet{opt: opt, streams: emulator.Streams(opt.Seed), file: opt.Day, day: opt.Day.Fleet, where: map[netip.AddrPort]emulator.Place{},
-		held: map[netip.AddrPort]int{}, refused: map[netip.AddrPort]bool{}}
+		stores: newStores(), held: map[netip.AddrPort]int{}, refused: map[netip.AddrPort]bool{}}
 	for _, c := range f.file.Classes() {
 		f.classes = append(f.classes, standin.CallerClass{Name: c.Name, Prefix: c.Prefix, Share: c.Share, Aim: time.Duration(c.Aim),
 			Deadline: time.Duration(c.Deadline), Try: time.Duration(c.Try), Hold: time.Duration(c.Hold), Worth: c.Worth, Late: c.Late})
@@ -180,7 +186,7 @@
 	}
 	for i := range f.Nodes {
 		f.limits[i] = f.file.Node.Attempts
-		at, err := f.stage.Address(f.nodeName(i))
+		at, err := f.nodeAddress(i)
 		if err != nil {
 			return err
 		}
@@ -246,7 +252,11 @@
 		return time.Duration(map[string]day.Duration{"ready": late.LagStart, "draining": late.LagDrain, "gone": late.LagGone}[s.Phase])
 	}
 	f.list = l
-	return f.stage.Boot(demo.Party{Name: "list", Kind: "list", Addr: f.listAt, Act: l})
+	p := demo.Party{Name: "list", Kind: "list", Addr: f.listAt, Act: l}
+	if f.procs != nil {
+		p.Tap = f.told
+	}
+	return f.stage.Boot(p)
 }
 
 // onList runs a function in the list server's turn.
@@ -295,7 +305,8 @@
 		MaxRetryAfter: 2 * time.Second}
 	cfg := node.Config{Seed: f.streams.Seed(fmt.Sprintf("node %d, life %d", i, f.lives[i])), Name: f.nodeName(i),
 		ListServer: sip.Peer{Addr: f.listAt, Transport: f.listBy()}, ListExpires: 15 * time.Second,
-		Addresses: [2]netip.AddrPort{f.nodeAt[i], f.nodeAt[i]}, MaxCalls: 20000, Earlier: f.kept[i], Wall: f.wall(i)}
+		Addresses: [2]netip.AddrPort{f.nodeAt[i], f.nodeAt[i]}, MaxCalls: 20000, Earlier: f.kept[i], Wall: f.wall(i), Journal: true}
+	cfg.Cached = f.stores.list(f.nodeName(i), cfg.Wall)
 	set.Classes, cfg.Classes = demo.NodeClasses(f.classes)
 	if f.called != nil {
 		for k := range f.day.Servers {
@@ -315,27 +326,45 @@
 
 func (f *Fleet) bootNode(i int) error {
 	f.lives[i]++
+	if f.procs != nil {
+		f.down[i] = false
+		return f.startProcess(i)
+	}
 	n, loss, err := f.newNode(i)
 	if err != nil {
 		return err
 	}
+	n.ReleaseStored(f.stores.left(f.nodeName(i)))
 	f.Nodes[i], f.down[i], f.places[i] = n, false, &holder{cur: n, loss: loss, idOf: f.idOf}
 	return f.stage.Boot(demo.Party{Name: f.nodeName(i), Kind: "node", Addr: f.nodeAt[i], Act: f.places[i]})
 }
 
+func (f *Fleet) nodeAddress(i int) (netip.AddrPort, error) {
+	if f.procs != nil {
+		return freeAddress()
+	}
+	return f.stage.Address(f.nodeName(i))
+}
+
 func (f *Fleet) killNode(i int) {
 	f.down[i] = true
+	if f.procs != nil {
+		f.procs.kill(i)
+		f.rec.Add(rules.Record{Time: f.stage.Now(), Kind: "killed", Self: f.nodeAt[i].String()})
+		return
+	}
 	f.stage.Kill(f.nodeName(i))
 }
 
 // keepMemories writes down what each node's store would have.
 func (f *Fleet) keepMemories() {
 	for i, n := range f.Nodes {
-		if !f.down[i] {
+		if !f.down[i] && n != nil {
 			wall := f.wall(i)
 			f.stage.Do(f.nodeName(i), func(time.Duration) {
 				kept := n.Memory(wall)
 				f.kept[i] = &kept
+				f.stores.keepList(f.nodeName(i), n.Kept(wall))
 			})
 		}
 	}
--- a/internal/fleet/parties.go
+++ b/internal/fleet/parties.go
@@ -97,7 +97,8 @@
 	f.where[at] = emulator.Place{Kind: emulator.Caller, N: i}
 	c := &f.file.Callers
 	cfg := standin.CallersConfig{Seed: f.streams.Seed(name), Address: at, Node: f.nodeAt[i], Rate: f.day.Rate / float64(f.day.Nodes),
-		Classes: f.classes, Redials: c.Redials, Back: time.Duration(c.Back), TCP: c.TCP, Impatient: c.Impatient, Comes: time.Duration(c.Comes),
+		Classes: f.classes, Redials: c.Redials, Back: time.Duration(c.Back), TCP: c.TCP, Large: c.Large, Impatient: c.Impatient,
+		Comes: time.Duration(c.Comes),
 		Next: emulator.NewArrivals(f.tide, f.streams, name+" dial", f.begin).Next}
 	hold := c.Hold.Factor(f.streams, name+" hold")
 	cfg.Length = func(class int) time.Duration { return time.Duration(hold() * float64(f.classes[class].Hold)) }
--- /dev/null
+++ b/internal/fleet/process_test.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"larkrouter/internal/config"
+	"larkrouter/internal/daemon"
+	"larkrouter/internal/day"
+)
+
+// The test's own binary serves as the program.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 4 && os.Args[1] == "serve" {
+		f, err := config.Load(os.Args[3])
+		if err == nil {
+			log, flush := daemon.Logger(f.Log, os.Stderr)
+			_, err = daemon.Serve(context.Background(), f, 1, log, daemon.Signals())
+			flush()
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// A day played with every node a process of its own, killed, stopped, stalled and reloaded by signals: the rules are kept
+// as seen on the wire, and no process outlives the day.
+func TestProcessesOnSockets(t *testing.T) {
+	d := kept(t, "bad", func(d *day.Fleet) { d.Nodes, d.Servers, d.Rate, d.Seconds = 3, 3, 30, 18 })
+	d.Trouble = append(d.Trouble, day.Trouble{What: "reload nodes", At: 0.3, Nodes: 1},
+		day.Trouble{What: "stop nodes", At: 0.6, Nodes: 0.34, Wait: day.Duration(1e9), Down: day.Duration(3e8)})
+	ctx, end := context.WithCancel(t.Context())
+	dir := t.TempDir()
+	f, stage, err := NewProcesses(ctx, Options{Day: d, Seed: 5}, os.Args[0], dir)
+	if err != nil {
+		end()
+		t.Fatal(err)
+	}
+	rep := f.Play(ctx)
+	for i := range f.procs.cmds {
+		b, err := os.ReadFile(filepath.Join(dir, f.nodeName(i)+".log"))
+		if err != nil || strings.Contains(string(b), "panic") {
+			t.Errorf("%v: %s", err, b)
+		}
+	}
+	f.EndProcesses()
+	end()
+	stage.Wait()
+	clean(t, "processes", f, rep)
+	if rep.Rules[0].Checks < 300 || rep.Rules[2].Checks < 200 || f.Served() < 0.5 {
+		t.Errorf("%d and %d checks, served %.3f", rep.Rules[0].Checks, rep.Rules[2].Checks, f.Served())
+	}
+	for i, c := range f.procs.cmds {
+		if err := syscall.Kill(c.Process.Pid, 0); err == nil {
+			t.Errorf("node %d outlived the day", i)
+		}
+	}
+}
+
+// What can't be played with processes is said before anything is started.
+func TestWhatProcessesCannot(t *testing.T) {
+	for what, d := range map[string]*day.File{
+		"no weather":   kept(t, "network", func(d *day.Fleet) { d.Nodes = 2 }),
+		"80 at the":    kept(t, "calm", func(d *day.Fleet) { d.Nodes = 200 }),
+		"clocks apart": {Name: "x", Fleet: day.Default().Fleet, Trouble: []day.Trouble{{What: "clocks apart"}}},
+	} {
+		if _, _, err := NewProcesses(t.Context(), Options{Day: d}, "/nowhere", t.TempDir()); err == nil || !strings.Contains(err.Error(), what) {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+}
--- a/internal/fleet/script.go
+++ b/internal/fleet/script.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"syscall"
 	"time"
 
 	"larkrouter/internal/day"
@@ -63,8 +64,20 @@
 	case "stop nodes":
 		for k, i := range nodes {
 			begin, name := turn(k), f.nodeName(i)
-			at(begin, func() { n := f.Nodes[i]; f.stage.Do(name, n.Drain) })
-			at(begin+d(t.Wait), func() { n := f.Nodes[i]; f.stage.Do(name, n.Release) })
+			at(begin, func() {
+				if f.procs != nil {
+					f.procs.signal(i, syscall.SIGTERM)
+					return
+				}
+				f.stage.Do(name, f.Nodes[i].Drain)
+			})
+			at(begin+d(t.Wait), func() {
+				if f.procs != nil { // the second one: what is left is released
+					f.procs.signal(i, syscall.SIGTERM)
+					return
+				}
+				f.stage.Do(name, f.Nodes[i].Release)
+			})
 			at(begin+d(t.Wait)+100*time.Millisecond, func() { f.killNode(i) })
 			at(begin+d(t.Wait)+100*time.Millisecond+d(t.Down), func() { f.try(f.bootNode(i)) })
 		}
@@ -79,7 +92,16 @@
 			}
 		}
 	case "stall nodes":
-		at(0, func() { f.stall(nodes, d(t.For)) })
+		for round := range max(1, t.Times) {
+			begin := time.Duration(round) * d(t.Every)
+			if t.Spread <= 0 {
+				at(begin, func() { f.stall(nodes, d(t.For)) })
+				continue
+			}
+			for k, i := range nodes { // each at a time of its own
+				at(begin+turn(k), func() { f.stall([]int{i}, d(t.For)) })
+			}
+		}
 	case "clocks apart":
 		at(0, func() {
 			for k, i := range nodes { // half of them on, half of them back
@@ -182,6 +204,12 @@
 		return
 	}
 	f.limits[i] = 2*f.file.Node.Attempts - 1 - f.limits[i]
+	if f.procs != nil {
+		_, err := f.configure(i)
+		f.try(err)
+		f.procs.signal(i, syscall.SIGHUP)
+		return
+	}
 	cfg, n := f.nodeConfig(i), f.Nodes[i]
 	f.stage.Do(f.nodeName(i), func(now time.Duration) { f.try(n.Reconfigure(now, cfg)) })
 }
@@ -202,7 +230,11 @@
 func (f *Fleet) stall(nodes []int, d time.Duration) {
 	now := f.stage.Now()
 	for _, i := range nodes {
-		f.stage.Stall(f.nodeName(i), d)
+		if f.procs != nil {
+			f.procs.stall(i, d)
+		} else {
+			f.stage.Stall(f.nodeName(i), d)
+		}
 		f.rec.Add(rules.Record{Time: now, Kind: "stalled", Self: f.nodeAt[i].String(), Until: now + d})
 	}
 }
@@ -224,6 +256,9 @@
 // Open counts what the nodes have left.
 func (f *Fleet) Open() (waiting, standing int) {
 	for i, n := range f.Nodes {
+		if n == nil {
+			continue
+		}
 		f.stage.Do(f.nodeName(i), func(time.Duration) {
 			w, s := n.Open()
 			waiting, standing = waiting+w, standing+s
@@ -236,6 +271,9 @@
 func (f *Fleet) ListStates() (held int, least, most float64) {
 	least = math.Inf(1)
 	for i, n := range f.Nodes {
+		if n == nil {
+			continue
+		}
 		f.stage.Do(f.nodeName(i), func(now time.Duration) {
 			if n.Snapshot(now).List == node.ListHeld {
 				held++
--- a/internal/fleet/series.go
+++ b/internal/fleet/series.go
@@ -58,6 +58,9 @@
 			continue
 		}
 		s.Nodes++
+		if n == nil {
+			continue // a process of its own
+		}
 		f.stage.Do(f.nodeName(i), func(now time.Duration) { f.gates(n, now, &s, gates, shut) })
 	}
 	for i, sv := range f.servers {
--- a/internal/fleet/trouble.go
+++ b/internal/fleet/trouble.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"larkrouter/internal/day"
+	"larkrouter/internal/demo"
 	"larkrouter/internal/emulator"
 	"larkrouter/internal/pool"
+	"larkrouter/internal/rules"
 	"larkrouter/internal/standin"
 )
 
@@ -75,6 +77,12 @@
 			at(0, func() { f.refused[f.servers[i].party.Addr] = true })
 			at(d(t.For), func() { delete(f.refused, f.servers[i].party.Addr) })
 		}
+	case "reset connections":
+		for after := time.Duration(0); after < d(t.For); after += d(t.Every) {
+			for _, i := range f.struck(t.Servers) {
+				at(after, func() { f.reset(i) })
+			}
+		}
 	case "wrong list":
 		at(0, func() {
 			wrong := map[uint32]bool{}
@@ -98,6 +106,15 @@
 	return true
 }
 
+// reset breaks all connections of a server.
+func (f *Fleet) reset(i int) {
+	s := f.servers[i]
+	if v, ok := f.stage.(*demo.Virtual); ok && !s.down {
+		f.rec.Add(rules.Record{Time: f.stage.Now(), Kind: "reset", Self: s.party.Addr.String()})
+		v.Net.Break(s.party.Name)
+	}
+}
+
 // pauses lets a server's processor stand still now and then.
 func (f *Fleet) pauses(i int, p emulator.Pauses, length time.Duration, part string, at func(time.Duration, func())) {
 	for _, still := range p.Spells(length, f.streams, part) {
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -184,5 +184,5 @@
 
 // policyRank orders policies in tables: the module, then the baselines from the least up.
 func policyRank(p string) int {
-	return slices.Index([]string{fleet.Module, Bottom, "least-delay", "token-gate", "loss", Top}, p)
+	return slices.Index([]string{fleet.Module, Bottom, "first-choice", "least-delay", "token-gate", "window", "loss", Top}, p)
 }
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"larkrouter"
 	"larkrouter/internal/pool"
 	"larkrouter/internal/release"
@@ -64,8 +66,8 @@
 // gap is not (section 12.2.2).
 const seqGap = 10_000
 
-// ReleaseStored ends the dialogs that an earlier life left standing, a BYE each, and answers new calls 503 meanwhile, at
-// the pace that package release has. It is called before Start.
+// ReleaseStored ends the dialogs that an earlier life left standing, a BYE each, at the pace that package release has,
+// and answers new calls 503 as long as that says. It is called before Start.
 func (n *Node) ReleaseStored(legs []StoredLeg) { n.stored = legs }
 
 func (n *Node) beginRelease() {
@@ -76,11 +78,11 @@
 }
 
 func (n *Node) releaseSome() {
-	lot, again := n.pace.Lot()
+	lot, again := n.pace.Lot(n.now)
 	for _, s := range n.stored[:lot] {
 		to, ok := s.peer()
 		if !ok {
-			n.pace.Answered()
+			n.pace.Answered(n.now, 0)
 			continue
 		}
 		m := sip.NewRequest(sip.BYE, s.Target, s.Local, s.Remote, s.CallID, s.Seq+seqGap, 70)
@@ -88,7 +90,7 @@
 			m.Add("Route", r)
 		}
 		m.Add("Reason", `SIP;cause=500;text="node restarted"`)
-		n.start(m, to, &storedBye{})
+		n.start(m, to, &storedBye{pace: n.pace, sent: n.now})
 		n.Stats.Released++
 	}
 	if n.stored = n.stored[lot:]; again > 0 {
@@ -109,12 +111,19 @@
 }
 
 // storedBye is a BYE of ReleaseStored, as a transaction's user.
-type storedBye struct{ done bool }
+type storedBye struct {
+	pace *release.Pace
+	sent time.Duration
+	done bool
+}
 
 func (n *Node) storedReleased(b *storedBye) {
 	if !b.done {
 		b.done = true
-		n.pace.Answered()
+		b.pace.Answered(n.now, n.now-b.sent)
+		if b.pace == n.pace {
+			n.releaseSome()
+		}
 	}
 }
 
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -1,53 +1,92 @@
 // Package release decides at which pace a node that was killed ends, in its next life, what it had left standing at the
 // servers, and when it takes new calls again. It has no I/O and no clock.
 //
-// Each release is work for a server, and all nodes may have been killed together: they go out in lots. New calls wait
-// until all are answered, for the calls that stood still hold what new ones need; but a server that answers nothing
-// does not keep the node out of service for longer than Wait.
+// Each release is work for a server, all nodes may have been killed together, and none knows of the others. So releases
+// are clocked by their answers: a few go out, more with each that is answered quickly, and one at a time, with rests in
+// proportion to its answer's time, once answers are slow. New calls wait until all are answered, for the calls that stood
+// still hold what new ones need; but not for longer than Wait: then they go first, and releases go on beside them.
 package release
 
 import "time"
 
 // Settings of the pace. Zero values stand for the defaults.
 type Settings struct {
-	Lot   int           // releases at once; 20
-	Every time.Duration // from lot to lot; 20 ms
-	Wait  time.Duration // new calls wait so long at the most; 3 s
+	First    int           // releases out at once to begin with; 2
+	Most     int           // and ever; 64
+	Quick    time.Duration // an answer within this lets one more be out; 60 ms
+	Rest     float64       // after a slow answer nothing more goes out for so many times its time; 8
+	RestMost time.Duration // 2 s at the most
+	Lost     time.Duration // with no answer for so long, one more goes out; 1 s
+	Wait     time.Duration // new calls wait so long at the most; 300 ms
 }
 
 // Pace is that of one life.
 type Pace struct {
-	set   Settings
-	left  int // not sent yet
-	open  int // not answered yet, the ones not sent included
-	until time.Duration
+	set    Settings
+	left   int // not sent yet
+	out    int // sent and not answered
+	window int
+	next   time.Duration // nothing goes out before
+	heard  time.Duration // of the last answer, or lot
+	until  time.Duration
 }
 
 // New begins to release a number of calls.
 func New(set Settings, calls int, now time.Duration) *Pace {
-	if set.Lot <= 0 {
-		set.Lot = 20
+	def := func(v *time.Duration, d time.Duration) {
+		if *v <= 0 {
+			*v = d
+		}
 	}
-	if set.Every <= 0 {
-		set.Every = 20 * time.Millisecond
+	if set.First <= 0 {
+		set.First = 2
 	}
-	if set.Wait <= 0 {
-		set.Wait = 3 * time.Second
+	if set.Most <= 0 {
+		set.Most = 64
 	}
-	return &Pace{set: set, left: calls, open: calls, until: now + set.Wait}
+	if set.Rest <= 0 {
+		set.Rest = 8
+	}
+	def(&set.Quick, 60*time.Millisecond)
+	def(&set.RestMost, 2*time.Second)
+	def(&set.Lost, time.Second)
+	def(&set.Wait, 300*time.Millisecond)
+	return &Pace{set: set, left: calls, window: set.First, next: now, heard: now, until: now + set.Wait}
 }
 
-// Lot is how many go out now, and after what time to ask again; 0 when all have gone.
-func (p *Pace) Lot() (calls int, again time.Duration) {
-	calls = min(p.left, p.set.Lot)
-	if p.left -= calls; p.left > 0 {
-		again = p.set.Every
+// Lot is how many go out now, and after what time to ask again at the latest; 0 when all have gone. It is to be asked
+// after each answer too.
+func (p *Pace) Lot(now time.Duration) (calls int, again time.Duration) {
+	if p.left == 0 {
+		return 0, 0
+	}
+	if now < p.next {
+		return 0, p.next - now
+	}
+	calls = min(p.left, p.window-p.out)
+	if calls <= 0 && now-p.heard >= p.set.Lost { // answers get lost; the rest is not to wait for their time-outs
+		calls = 1
+	}
+	if calls > 0 {
+		p.left, p.out, p.heard = p.left-calls, p.out+calls, now
 	}
-	return calls, again
+	if p.left > 0 {
+		again = max(p.heard+p.set.Lost-now, time.Millisecond)
+	}
+	return max(calls, 0), again
 }
 
-// Answered notes that one has been answered, or will not be.
-func (p *Pace) Answered() { p.open-- }
+// Answered notes that one has been answered after a time, or will not be.
+func (p *Pace) Answered(now, after time.Duration) {
+	p.out--
+	p.heard = now
+	if after <= p.set.Quick {
+		p.window = min(p.window+1, p.set.Most)
+		return
+	}
+	p.window = 1
+	p.next = max(p.next, now+min(time.Duration(p.set.Rest*float64(after)), p.set.RestMost))
+}
 
 // Holds says whether new calls have to wait.
-func (p *Pace) Holds(now time.Duration) bool { return p != nil && p.open > 0 && now < p.until }
+func (p *Pace) Holds(now time.Duration) bool { return p != nil && p.left+p.out > 0 && now < p.until }
--- a/internal/rules/check.go
+++ b/internal/rules/check.go
@@ -96,7 +96,7 @@
 func NewChecker(f Figures) *Checker {
 	return &Checker{&checker{f: f, calls: map[string]*callSeen{}, attempts: map[string]*attemptSeen{}, sessions: map[string][]*attemptSeen{},
 		told: map[string]map[string]*toldServer{}, down: map[string]time.Duration{}, arrivals: map[string][]arrival{},
-		killed: map[string][]time.Duration{}, stalled: map[string][][2]time.Duration{}}}
+		killed: map[string][]time.Duration{}, resets: map[string][]time.Duration{}, stalled: map[string][][2]time.Duration{}}}
 }
 
 // Check reads a whole capture. Records need not be in order of time.
@@ -122,6 +122,7 @@
 	down     map[string]time.Duration
 	arrivals map[string][]arrival
 	killed   map[string][]time.Duration
+	resets   map[string][]time.Duration // of a server's connections
 	stalled  map[string][][2]time.Duration
 	starts   []start
 }
@@ -141,6 +142,8 @@
 		c.list(r)
 	case r.Kind == "down":
 		c.down[r.Self] = r.Time
+	case r.Kind == "reset":
+		c.resets[r.Self] = append(c.resets[r.Self], r.Time)
 	case r.Kind == "killed":
 		c.killed[r.Self] = append(c.killed[r.Self], r.Time)
 	case r.Kind == "stalled":
@@ -263,6 +266,11 @@
 	}
 	k := c.calls[callKey(m)]
 	switch {
+	case k == nil && m.Method == sip.INVITE && m.Tag("To") == "" && r.Until > 0 && c.f.Capacity[peer] > 0:
+		// To a server, held on its way: it counts from when it was sent, for nobody can take it back.
+		in := *r
+		in.Self, in.Peer = peer, r.Peer[:strings.IndexByte(r.Peer, ':')+1]+r.Self
+		c.attempt(&in).due = r.Until
 	case k == nil:
 	case !m.IsRequest() && method == sip.INVITE: // to a caller
 		in := *r
@@ -289,6 +297,8 @@
 	first, copied           time.Duration // first INVITE, last copy of it
 	rung, answered          time.Duration // first 1xx, first final; -1: none
 	status                  int
+	tcp                     bool
+	due                     time.Duration // its first INVITE is on its way until then; 0: it has arrived
 	cancelled, bye          time.Duration // -1: none
 	superseded              time.Duration // since when another attempt has begun; -1: none
 }
@@ -301,17 +311,16 @@
 	switch {
 	case r.Dir == "in" && m.Method == sip.INVITE && m.Tag("To") == "":
 		if a != nil {
+			if a.due > 0 && r.Time <= a.due { // it was on its way since it was sent
+				return
+			}
 			a.copied = r.Time
 			if a.superseded >= 0 && r.Time > a.superseded+c.f.Slack { // not one that was on its way
 				c.broken(2, r.Time, "session %s: INVITE to %s again after another attempt had begun", a.session, a.server)
 			}
 			return
 		}
-		session, _, _ := strings.Cut(m.Get("Session-ID"), ";")
-		a = &attemptSeen{session: session, server: r.Self, callID: m.Get("Call-ID"), first: r.Time, copied: r.Time,
-			rung: -1, answered: -1, cancelled: -1, bye: -1, superseded: -1}
-		c.attempts[key] = a
-		c.begin(a, r)
+		c.attempt(r)
 	case a == nil:
 	case r.Dir == "in" && m.Method == sip.CANCEL:
 		if a.cancelled < 0 {
@@ -328,6 +337,16 @@
 	}
 }
 
+// attempt notes a new one, by its first INVITE at its server.
+func (c *checker) attempt(r *Record) *attemptSeen {
+	session, _, _ := strings.Cut(r.Msg.Get("Session-ID"), ";")
+	a := &attemptSeen{session: session, server: r.Self, callID: r.Msg.Get("Call-ID"), first: r.Time, copied: r.Time,
+		tcp: strings.HasPrefix(r.Peer, "tcp"), rung: -1, answered: -1, cancelled: -1, bye: -1, superseded: -1}
+	c.attempts[r.Self+"|"+a.callID] = a
+	c.begin(a, r)
+	return a
+}
+
 // begin checks rules 2, 3 and 5 at an attempt's first INVITE.
 func (c *checker) begin(a *attemptSeen, r *Record) {
 	node := ""
@@ -377,6 +396,8 @@
 		return // the server is gone, and with it the attempt
 	case old.bye >= 0:
 		return
+	case old.tcp && old.rung >= 0 && c.reset(old, at) >= 0: // its connection broke: nobody can cancel it
+		guard(c.reset(old, at), "a reset connection")
 	case old.rung >= 0 && old.rung < at-late, old.answered >= 0 && old.answered < at-late:
 		c.broken(2, at, "session %s: set-up at %s while the one at %s is out", a.session, a.server, old.server)
 	case at-old.copied < c.f.ReleaseGuard-c.f.Slack && at-old.copied < late:
@@ -386,6 +407,16 @@
 	}
 }
 
+// reset is when an attempt's connection was reset, before a time; -1: it was not.
+func (c *checker) reset(a *attemptSeen, before time.Duration) time.Duration {
+	for _, at := range c.resets[a.server] {
+		if at >= a.first && at <= before && (a.answered < 0 || a.answered+c.f.Slack >= at) {
+			return at
+		}
+	}
+	return -1
+}
+
 // toldServer is what a node was last told of a server.
 type toldServer struct {
 	phase string
--- a/internal/rules/record.go
+++ b/internal/rules/record.go
@@ -14,8 +14,8 @@
 type Record struct {
 	Time time.Duration `json:"-"`
 	// Kind is "msg", "list" (told to a node), "down" (a party's socket closed), "killed" (a node), "stalled" (a
-	// node's machine stands still until Until) or "lost" (a message that Self sent to Peer and that arrives late, at
-	// Until, or never where that is 0).
+	// node's machine stands still until Until), "reset" (all connections of a server broke) or "lost" (a message that Self sent to
+	// Peer and that arrives late, at Until, or never where that is 0).
 	Kind  string        `json:"kind"`
 	At    string        `json:"at,omitempty"`   // whose socket: "caller" or "server"
 	Dir   string        `json:"dir,omitempty"`  // "in": read there, "out": written there
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -221,6 +221,9 @@
 func (s *CallServer) Wait() time.Duration {
 	var sum time.Duration
 	for i := range s.line {
+		if s.cfg.SetUpsFirst && s.line[i].setUp == nil {
+			break // releases and refusals wait behind it
+		}
 		sum += s.line[i].work
 	}
 	wait := time.Duration(float64(sum) / s.Speed())
--- a/internal/virtual/net.go
+++ b/internal/virtual/net.go
@@ -65,11 +65,12 @@
 }
 
 type conn struct {
-	id   uint64
-	ends [2]*host
-	port [2]netip.AddrPort
-	last [2]time.Duration // what was sent last arrives then, by end: a connection keeps order
-	open bool
+	id     uint64
+	ends   [2]*host
+	port   [2]netip.AddrPort
+	last   [2]time.Duration // what was sent last arrives then, by end: a connection keeps order
+	open   bool
+	broken bool // by Break: what was on its way is lost
 }
 
 type event struct {
@@ -147,6 +148,29 @@
 	}
 }
 
+// Break resets all connections of a host, as a middlebox or a fault of its system may; what is on its way over them is
+// lost. Both ends learn of it.
+func (n *Net) Break(name string) {
+	h := n.hosts[name]
+	if h == nil || !h.up {
+		return
+	}
+	for id := uint64(1); id <= n.count; id++ {
+		c := n.conns[id]
+		if c == nil || !c.open || c.ends[0] != h && c.ends[1] != h {
+			continue
+		}
+		c.open = false
+		delete(n.conns, id)
+		delete(n.open, connKey{c.ends[0], c.port[1]})
+		for end, who := range c.ends {
+			peer := sip.Peer{Transport: sip.TCP, Addr: c.port[1-end], Conn: c.id}
+			n.At(n.now+n.Delay, func() { n.deliver(who, func() { who.act.Lost(n.now, peer, sip.ErrLost) }) })
+		}
+		c.broken = true
+	}
+}
+
 // Stall keeps an actor from doing anything for a while; what comes waits.
 func (n *Net) Stall(name string, d time.Duration) {
 	if h := n.hosts[name]; h != nil && h.up {
@@ -293,6 +317,9 @@
 		n.missed(c.last[end], src, to, m)
 	}
 	n.At(c.last[end], func() {
+		if c.broken {
+			return
+		}
 		read(dst, from) // also when its sender has died meanwhile: the kernel had it already
 	})
 }
