Tests of lost messages, loss control and lines

Change: captures by hand with lost and late messages, kept and broken; RFC 7339's parameters in a jam and after it; a server with two lines.

--- a/internal/fleet/parties.go
+++ b/internal/fleet/parties.go
@@ -99,7 +99,7 @@
 	cfg := standin.CallersConfig{Seed: f.streams.Seed(name), Address: at, Node: f.nodeAt[i], Rate: f.day.Rate / float64(f.day.Nodes),
 		Classes: f.classes, Redials: c.Redials, Back: time.Duration(c.Back), TCP: c.TCP, Large: c.Large, Impatient: c.Impatient,
 		Comes: time.Duration(c.Comes),
-		Next: emulator.NewArrivals(f.tide, f.streams, name+" dial", f.begin).Next}
+		Next:  emulator.NewArrivals(f.tide, f.streams, name+" dial", f.begin).Next}
 	hold := c.Hold.Factor(f.streams, name+" hold")
 	cfg.Length = func(class int) time.Duration { return time.Duration(hold() * float64(f.classes[class].Hold)) }
 	if f.called != nil {
--- a/internal/rules/check_test.go
+++ b/internal/rules/check_test.go
@@ -42,11 +42,20 @@
 	c.msg(at, "server", "out", server, sip.NewResponse(m, status, "", "s"))
 }
 
-func (c *capture) cancel(at int, server string, m *sip.Message) {
+func cancelOf(m *sip.Message) *sip.Message {
 	x := m.Clone()
 	x.Method = sip.CANCEL
 	x.Set("CSeq", "1 CANCEL")
-	c.msg(at, "server", "in", server, x)
+	return x
+}
+
+func (c *capture) cancel(at int, server string, m *sip.Message) {
+	c.msg(at, "server", "in", server, cancelOf(m))
+}
+
+// lost notes a message that arrives at a time, or never: 0.
+func (c *capture) lost(at, until int, from, to string, m *sip.Message) {
+	*c = append(*c, Record{Time: ms(at), Kind: "lost", Self: from, Peer: "udp:" + to, Until: ms(until), Msg: m})
 }
 
 func (c *capture) list(at int, node, address, phase string, started int) {
@@ -116,6 +125,35 @@
 			c.answer(5, one, m, 503)
 			c.attempt(10, two, "b", "s")
 		}},
+		{"late, as its first INVITE was lost", "", func(c *capture) {
+			m := invite("a", "s", callerAt)
+			c.msg(0, "caller", "out", callerAt, m)
+			c.lost(0, 0, callerAt, nodeAt, m)
+			c.msg(500, "caller", "out", callerAt, m)
+			c.msg(1450, "caller", "in", callerAt, sip.NewResponse(m, 200, "", "t"))
+		}},
+		{"answered in time, the answer lost", "", func(c *capture) {
+			m := invite("a", "s", callerAt)
+			c.msg(0, "caller", "out", callerAt, m)
+			c.lost(900, 0, nodeAt, callerAt, sip.NewResponse(m, 503, "", "t"))
+			c.msg(1400, "caller", "in", callerAt, sip.NewResponse(m, 503, "", "t"))
+		}},
+		{"called off, the CANCEL lost", "", func(c *capture) {
+			m := c.attempt(0, one, "a", "s")
+			c.answer(5, one, m, 100)
+			c.lost(400, 0, nodeAt, one, cancelOf(m))
+			c.attempt(1000, two, "b", "s")
+		}},
+		{"called off too late, the CANCEL lost", "5", func(c *capture) {
+			m := c.attempt(0, one, "a", "s")
+			c.answer(5, one, m, 100)
+			c.lost(900, 0, nodeAt, one, cancelOf(m))
+			c.attempt(1000, two, "b", "s")
+		}},
+		{"held on a connection, sent elsewhere at once", "2", func(c *capture) {
+			c.lost(0, 3000, nodeAt, one, invite("a", "s", nodeAt))
+			c.attempt(50, two, "b", "s")
+		}},
 		{"two at once", "2", func(c *capture) {
 			m := c.attempt(0, one, "a", "s")
 			c.answer(5, one, m, 100)
--- /dev/null
+++ b/internal/standin/control_test.go
@@ -0,0 +1,86 @@
+package standin
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"larkrouter/internal/sip"
+)
+
+// A server in a jam asks clients that take part to hold back, more with each look while the jam lasts, and less once it is
+// over; what it tells is what RFC 7339, sections 4.1 to 4.4, says, and others are told nothing.
+func TestLossControl(t *testing.T) {
+	s := NewServer(ServerConfig{Seed: 1, Address: netip.MustParseAddrPort("127.0.0.1:5080"), SetUp: 100 * time.Millisecond, Control: true})
+	s.Start(0)
+	from := sip.Peer{Addr: netip.MustParseAddrPort("127.0.0.1:5060")}
+	ask := func(now time.Duration, id, params string) (share, seq string) {
+		m := sip.NewRequest(sip.INVITE, "sip:1@127.0.0.1:5080", "<sip:7@h>;tag=f", "<sip:1@h>", id, 1, 70)
+		m.Push("Via", "SIP/2.0/UDP 127.0.0.1:5060;branch=z9hG4bK"+id+params)
+		for at, ok := s.Next(); ok && at <= now; at, ok = s.Next() {
+			s.Advance(at)
+		}
+		s.Receive(now, sip.Packet{Peer: from, Msg: m})
+		s.Advance(now)
+		via := ""
+		for _, e := range s.out {
+			if e.Send.Branch() == "z9hG4bK"+id {
+				via = e.Send.Get("Via")
+			}
+		}
+		if params == "" && strings.Contains(via, "oc=") {
+			t.Errorf("one that did not ask is told %s", via)
+		}
+		if params != "" && sip.Param(via, "oc-validity") != "500" {
+			t.Errorf("validity in %s", via)
+		}
+		return sip.Param(via, "oc"), sip.Param(via, "oc-seq")
+	}
+	const part = `;oc;oc-algo="loss"`
+	for i := range 20 {
+		ask(300*time.Millisecond, string(rune('a'+i)), "")
+	}
+	first, one := ask(300*time.Millisecond, "x", part)
+	second, two := ask(600*time.Millisecond, "y", part)
+	if first != "10" || second != "20" || one == two {
+		t.Errorf("in a jam it asks for %s (%s), then %s (%s)", first, one, second, two)
+	}
+	later := "20"
+	for now := 5 * time.Second; now < 8*time.Second; now += 300 * time.Millisecond {
+		later, _ = ask(now, "z"+now.String(), part)
+	}
+	if later != "0" {
+		t.Errorf("with the jam over it still asks for %s", later)
+	}
+}
+
+// Set-ups that find every line taken are turned away with the cause that says so; a line that is free again is used.
+func TestLines(t *testing.T) {
+	s := NewServer(ServerConfig{Seed: 1, Address: netip.MustParseAddrPort("127.0.0.1:5080"), SetUp: time.Millisecond, Lines: 2})
+	s.Start(0)
+	from := sip.Peer{Addr: netip.MustParseAddrPort("127.0.0.1:5060")}
+	now := time.Duration(0)
+	send := func(method, id, to string, seq uint32) *sip.Message {
+		m := sip.NewRequest(method, "sip:1@127.0.0.1:5080", "<sip:7@h>;tag=f", to, id, seq, 70)
+		m.Add("Contact", "<sip:127.0.0.1:5060>")
+		m.Push("Via", "SIP/2.0/UDP 127.0.0.1:5060;branch=z9hG4bK"+id+method)
+		s.Receive(now, sip.Packet{Peer: from, Msg: m})
+		now += 10 * time.Millisecond
+		s.Advance(now)
+		return s.out[len(s.out)-1].Send
+	}
+	first := send(sip.INVITE, "a", "<sip:1@h>", 1)
+	if second := send(sip.INVITE, "b", "<sip:1@h>", 1); first.Status != 200 || second.Status != 200 {
+		t.Fatalf("%d and %d", first.Status, second.Status)
+	}
+	if third := send(sip.INVITE, "c", "<sip:1@h>", 1); third.Status != 503 || !strings.Contains(third.Get("Reason"), "cause=34") {
+		t.Errorf("the third: %d %s", third.Status, third.Get("Reason"))
+	}
+	if bye := send(sip.BYE, "a", first.Get("To"), 2); bye.Status != 200 {
+		t.Errorf("BYE: %d", bye.Status)
+	}
+	if fourth := send(sip.INVITE, "d", "<sip:1@h>", 1); fourth.Status != 200 {
+		t.Errorf("with a line free again: %d", fourth.Status)
+	}
+}
