--- a/internal/ceiling/ceiling.go
+++ b/internal/ceiling/ceiling.go
@@ -4,7 +4,7 @@
 //
 // It is told of the day step by step: how much work the servers could do in the step, and how many calls of each class
 // were offered in it. Calls and work are amounts, not single calls, so that a step may serve a part of one. Work that
-// is owed for calls that have ended goes first, as it can't be refused; then, of all calls that still wait within their
+// is owed for calls that have ended goes first, as it can't be refused, or last, where the servers do it so; then, of all calls that still wait within their
 // deadline, the ones worth most now, and among equals the ones whose time runs out first.
 package ceiling
 
@@ -45,6 +45,8 @@
 	served   float64
 	spent    float64
 	could    float64
+	// ReleasesLast says that the servers take set-ups first: what is owed for calls that have ended has what is left.
+	ReleasesLast bool
 }
 
 // New begins a day that is told in steps of a length.
@@ -84,8 +86,9 @@
 		b.owed += ended * c.Release
 	}
 	left := work
-	done := min(left, b.owed)
-	b.owed, left, b.spent = b.owed-done, left-done, b.spent+done
+	if !b.ReleasesLast {
+		left = b.release(left)
+	}
 	b.line = slices.DeleteFunc(b.line, func(w waiting) bool { return b.worth(&w) <= 0 || w.amount <= 0 })
 	slices.SortStableFunc(b.line, func(x, y waiting) int {
 		if c := cmp.Compare(b.worth(&y), b.worth(&x)); c != 0 {
@@ -109,9 +112,17 @@
 		b.served += n * b.worth(w)
 		b.standing[w.class] += n
 	}
+	b.release(left)
 	b.now += b.step
 }
 
+// release does what is owed with the work that there is, and says what is left of that.
+func (b *Bound) release(work float64) float64 {
+	done := min(work, b.owed)
+	b.owed, b.spent = b.owed-done, b.spent+done
+	return work - done
+}
+
 // Share is the most that could be served, by worth, of what was offered; 1 where nothing was.
 func (b *Bound) Share() float64 {
 	if b.offered == 0 {
--- a/internal/ceiling/ceiling_test.go
+++ b/internal/ceiling/ceiling_test.go
@@ -67,3 +67,18 @@
 		}
 	})
 }
+
+// Servers that take set-ups first can serve more for a while: what is owed for ended calls waits.
+func TestReleasesLast(t *testing.T) {
+	share := func(last bool) float64 {
+		b := New(100*time.Millisecond, []Class{{Worth: 1, Aim: time.Second, Deadline: time.Second, Hold: time.Second, SetUp: 0.5, Release: 0.5}})
+		b.ReleasesLast = last
+		for range 600 {
+			b.Step(0.1, []float64{0.2}) // the set-ups alone take all
+		}
+		return b.Share()
+	}
+	if first, last := share(false), share(true); first > 0.6 || last < 0.99 {
+		t.Errorf("releases first %.3f, last %.3f", first, last)
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -445,6 +445,7 @@
 				SetUp: fast * s.SetUp.Seconds(), Release: fast * s.Release.Seconds()})
 		}
 		f.bound, f.seen = ceiling.New(f.sampling, cl), make([]uint64, len(f.classes))
+		f.bound.ReleasesLast = f.file.Servers.SetUpsFirst
 	}
 	work := 0.0
 	for i := range f.servers {
--- a/internal/rules/check.go
+++ b/internal/rules/check.go
@@ -291,6 +291,13 @@
 	return r.Until
 }
 
+// stood says whether a call's node stood still from its deadline until a time: killed then, it never ran again.
+func (c *checker) stood(k *callSeen, until time.Duration) bool {
+	return slices.ContainsFunc(c.stalled[k.node], func(s [2]time.Duration) bool {
+		return s[0] <= k.deadline+c.f.AnswerSlack && s[1] >= until
+	})
+}
+
 // attemptSeen is an attempt as its server's socket saw it.
 type attemptSeen struct {
 	session, server, callID string
@@ -488,7 +495,7 @@
 		if !k.accepted || k.final != "" || k.deadline < 0 || c.last < k.deadline+c.f.AnswerSlack {
 			continue
 		}
-		if slices.ContainsFunc(c.killed[k.node], func(t time.Duration) bool { return t >= k.first && t <= k.deadline }) {
+		if slices.ContainsFunc(c.killed[k.node], func(t time.Duration) bool { return t >= k.first && (t <= k.deadline || c.stood(k, t)) }) {
 			continue // calls of a killed node are the caller's to retry
 		}
 		c.report.Rules[0].Checks++
