--- a/internal/lab/chart.go
+++ b/internal/lab/chart.go
@@ -19,9 +19,9 @@
 // inks can be told apart by the colour-blind (Okabe and Ito, 2008); each goes with a dash of its own, so that they can be
 // told apart in black and white too.
 var inks = []color.RGBA{{0, 0, 0, 255}, {0, 114, 178, 255}, {213, 94, 0, 255}, {0, 158, 115, 255}, {204, 121, 167, 255},
-	{230, 159, 0, 255}, {86, 180, 233, 255}}
+	{230, 159, 0, 255}, {86, 180, 233, 255}, {120, 120, 120, 255}}
 
-var dashes = [][]vg.Length{nil, {6, 2}, {2, 2}, {8, 2, 2, 2}, {4, 4}, {1, 3}, {10, 3}}
+var dashes = [][]vg.Length{nil, {6, 2}, {2, 2}, {8, 2, 2, 2}, {4, 4}, {1, 3}, {10, 3}, {3, 1}}
 
 // Line is a line of a chart.
 type Line struct {
@@ -71,6 +71,7 @@
 			p.Legend.Add(l.Name, line)
 		}
 	}
+	p.X.Max += 0.2 * (p.X.Max - p.X.Min) // room for the names
 	if !math.IsNaN(least) {
 		p.Y.Min = least
 	}
--- a/internal/lab/hunt.go
+++ b/internal/lab/hunt.go
@@ -103,7 +103,7 @@
 	}
 	found = h.apart(found)
 	took := make([]int, len(found))
-	g, ctx := errgroup.WithContext(ctx) // each day is cut down one cut after another, all days at once
+	g, ctx := errgroup.WithContext(ctx) // interrupted, days are as far cut down as they are; each day is cut down one cut after another, all days at once
 	for i := range found {
 		g.Go(func() error { return h.shrink(ctx, &found[i], &took[i]) })
 	}
@@ -199,8 +199,8 @@
 				continue
 			}
 			less, err := fails(d)
-			if errors.Is(err, errBudget) {
-				return nil
+			if errors.Is(err, errBudget) || ctx.Err() != nil {
+				return nil // what is left stands as it is
 			}
 			if err != nil {
 				return err
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -215,6 +215,7 @@
 		if l.Name = o.Policy; len(groupsOfPolicy(same, o.Policy)) > 1 {
 			l.Name += " " + o.Version
 		}
+		l.Y = capped(l.Y, 1.05) // calls of the second before may stand in this one
 		served = append(served, l)
 	}
 	const over = "Share served by worth of what was offered in the second, mean of the seeds"
