--- a/internal/ceiling/ceiling.go
+++ b/internal/ceiling/ceiling.go
@@ -4,7 +4,8 @@
 //
 // It is told of the day step by step: how much work the servers could do in the step, and how many calls of each class
 // were offered in it. Calls and work are amounts, not single calls, so that a step may serve a part of one. Work that
-// is owed for calls that have ended goes first, as it can't be refused, or last, where the servers do it so; then, of all calls that still wait within their
+// is owed for calls that have ended goes first, as it can't be refused, or last, where the servers do it so; then, of
+// all calls that still wait within their
 // deadline, the ones worth most now, and among equals the ones whose time runs out first.
 package ceiling
 
--- a/internal/lab/hunt.go
+++ b/internal/lab/hunt.go
@@ -103,7 +103,8 @@
 	}
 	found = h.apart(found)
 	took := make([]int, len(found))
-	g, ctx := errgroup.WithContext(ctx) // interrupted, days are as far cut down as they are; each day is cut down one cut after another, all days at once
+	// One cut after another, all days at once; interrupted, they are as far cut down as they are.
+	g, ctx := errgroup.WithContext(ctx)
 	for i := range found {
 		g.Go(func() error { return h.shrink(ctx, &found[i], &took[i]) })
 	}
--- a/internal/rules/check_test.go
+++ b/internal/rules/check_test.go
@@ -129,14 +129,16 @@
 			m := invite("a", "s", callerAt)
 			c.msg(0, "caller", "out", callerAt, m)
 			c.msg(1, "caller", "in", callerAt, sip.NewResponse(m, 100, "", ""))
-			*c = append(*c, Record{Time: ms(500), Kind: "stalled", Self: nodeAt, Until: ms(2500)}, Record{Time: ms(2000), Kind: "killed", Self: nodeAt})
+			*c = append(*c, Record{Time: ms(500), Kind: "stalled", Self: nodeAt, Until: ms(2500)},
+				Record{Time: ms(2000), Kind: "killed", Self: nodeAt})
 			c.list(3000, nodeAt, two, "ready", 0)
 		}},
 		{"never answered, its node killed after it stood still", "1", func(c *capture) {
 			m := invite("a", "s", callerAt)
 			c.msg(0, "caller", "out", callerAt, m)
 			c.msg(1, "caller", "in", callerAt, sip.NewResponse(m, 100, "", ""))
-			*c = append(*c, Record{Time: ms(500), Kind: "stalled", Self: nodeAt, Until: ms(1500)}, Record{Time: ms(2000), Kind: "killed", Self: nodeAt})
+			*c = append(*c, Record{Time: ms(500), Kind: "stalled", Self: nodeAt, Until: ms(1500)},
+				Record{Time: ms(2000), Kind: "killed", Self: nodeAt})
 			c.list(3000, nodeAt, two, "ready", 0)
 		}},
 		{"late, as its first INVITE was lost", "", func(c *capture) {
