--- a/internal/baseline/baseline_test.go
+++ b/internal/baseline/baseline_test.go
@@ -14,8 +14,9 @@
 )
 
 func settings() larkrouter.Settings {
-	return larkrouter.Settings{Instances: 3, Tick: time.Millisecond, ReleaseGuard: 300 * time.Millisecond, MaxAttempts: 3, Classes: []larkrouter.Class{
-		{Name: "low", Aim: time.Second, Deadline: 9 * time.Second, Worth: 1}, {Name: "high", Aim: time.Second, Deadline: 9 * time.Second, Worth: 8}}}
+	return larkrouter.Settings{Instances: 3, Tick: time.Millisecond, ReleaseGuard: 300 * time.Millisecond, MaxAttempts: 3,
+		Classes: []larkrouter.Class{{Name: "low", Aim: time.Second, Deadline: 9 * time.Second, Worth: 1},
+			{Name: "high", Aim: time.Second, Deadline: 9 * time.Second, Worth: 8}}}
 }
 
 func list(phases ...larkrouter.Phase) larkrouter.ServerList {
@@ -77,7 +78,8 @@
 func TestFrameKeepsTheCallsRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		name := rapid.SampledFrom(Names).Draw(t, "policy")
-		w := &World{See: func(time.Duration, uint32) Truth { return Truth{Up: true, SetUp: 0.01, Budget: math.Inf(1)} }, Travel: 5 * time.Millisecond}
+		w := &World{See: func(time.Duration, uint32) Truth { return Truth{Up: true, SetUp: 0.01, Budget: math.Inf(1)} },
+			Travel: 5 * time.Millisecond}
 		d, err := New(name, settings(), rapid.Uint64().Draw(t, "seed"), w)
 		if err != nil {
 			t.Fatal(err)
