--- a/internal/baseline/baseline_test.go
+++ b/internal/baseline/baseline_test.go
@@ -94,8 +94,7 @@
 		wakes := map[uint64]time.Duration{}
 		var now time.Duration
 		draining := uint32(0)
-		var do func(ev larkrouter.Event)
-		do = func(ev larkrouter.Event) {
+		do := func(ev larkrouter.Event) {
 			for _, a := range append([]larkrouter.Action(nil), d.Handle(now, ev)...) {
 				switch a := a.(type) {
 				case larkrouter.Attempt:
