Releases after a kill go by server: a dead one holds up no other's

Need: since releases are clocked by answers, those to a server that answers nothing took the whole window, and the rest of a killed node's calls went out one a second.

Change: a pace for each server; a lot leaves the queue before it is sent, so that an answer within the loop finds it whole.

Result: 20 of 20 released at one server within 290 ms beside a dead one; with one pace for all the test fails.

--- a/internal/node/dialog_test.go
+++ b/internal/node/dialog_test.go
@@ -323,6 +323,55 @@
 	s.want(sip.INVITE)
 }
 
+// Releases at a server that answers nothing hold up neither those at another nor, after their wait, new calls.
+func TestReleasesGoByServer(t *testing.T) {
+	first := newScript(t, func(c *Config) { c.Journal = true })
+	first.standing("a")
+	var leg StoredLeg
+	for _, j := range first.journal {
+		if j.Leg != nil {
+			leg = *j.Leg
+		}
+	}
+	var legs []StoredLeg
+	for i := range 40 { // every other one at a server that is dead
+		l := leg
+		l.CallID = "old-" + strconv.Itoa(i)
+		if i%2 == 0 {
+			l.To = "127.0.0.1:5099"
+		}
+		legs = append(legs, l)
+	}
+	n, err := New(testConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{t: t, now: time.Second, n: n}
+	n.ReleaseStored(legs)
+	n.Start(s.now)
+	dead, answered := map[string]bool{}, map[string]bool{}
+	s.take()
+	for range 29 {
+		for e, ok := s.find(sip.BYE); ok; e, ok = s.find(sip.BYE) {
+			if e.To.Addr.Port() == 5099 {
+				dead[e.Send.Get("Call-ID")] = true
+				continue
+			}
+			answered[e.Send.Get("Call-ID")] = true
+			s.in(e.To, reply(e.Send, 200))
+		}
+		s.run(10 * time.Millisecond)
+	}
+	if len(answered) != 20 || len(dead) != 2 {
+		t.Errorf("after 290 ms %d of 20 are released at the one, and %d tried at the dead one, 2 at first are right", len(answered), len(dead))
+	}
+	s.in(callerPeer, invite("early"))
+	s.want("503")
+	s.run(20 * time.Millisecond)
+	s.in(callerPeer, invite("new"))
+	s.want(sip.INVITE)
+}
+
 // The list of an earlier life reaches the module as a cached one, before the list server has answered.
 func TestCachedList(t *testing.T) {
 	s := newScript(t, func(c *Config) {
--- a/internal/node/invite.go
+++ b/internal/node/invite.go
@@ -137,7 +137,7 @@
 		n.reject(t, m, 404)
 		return
 	}
-	if n.drain || slices.Contains(n.cfg.Retired, t.From.Local) || n.pace.Holds(n.now) || n.cfg.MaxCalls > 0 &&
+	if n.drain || slices.Contains(n.cfg.Retired, t.From.Local) || n.holdsCalls() || n.cfg.MaxCalls > 0 &&
 		len(n.calls) >= n.cfg.MaxCalls {
 		n.Stats.OverLimit++
 		wait := time.Duration((0.25 + 0.75*n.id.Rand.Float64()) * float64(n.cfg.RetryAfter))
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"larkrouter"
@@ -71,33 +72,71 @@
 func (n *Node) ReleaseStored(legs []StoredLeg) { n.stored = legs }
 
 func (n *Node) beginRelease() {
-	if len(n.stored) > 0 {
-		n.pace = release.New(release.Settings{}, len(n.stored), n.now)
-		n.releaseSome()
+	n.releaseLegs(n.stored)
+	n.stored = nil
+}
+
+// releases are the dialogs left at one server, at a pace of their own: a server that is gone or busy holds up no other's.
+type releases struct {
+	n    *Node
+	legs []StoredLeg // not sent yet
+	pace *release.Pace
+	next timers.Timer
+}
+
+// releaseLegs begins to end dialogs.
+func (n *Node) releaseLegs(legs []StoredLeg) {
+	by := map[string]*releases{}
+	var order []*releases
+	for _, leg := range legs {
+		if by[leg.To] == nil {
+			by[leg.To] = &releases{n: n}
+			order = append(order, by[leg.To])
+		}
+		by[leg.To].legs = append(by[leg.To].legs, leg)
+	}
+	for _, r := range order {
+		r.pace = release.New(release.Settings{}, len(r.legs), n.now)
+		n.releasing = append(n.releasing, r)
+		r.some()
 	}
 }
 
-func (n *Node) releaseSome() {
-	lot, again := n.pace.Lot(n.now)
-	for _, s := range n.stored[:lot] {
+// some sends what is due.
+func (r *releases) some() {
+	n := r.n
+	count, again := r.pace.Lot(n.now)
+	lot := r.legs[:count]
+	r.legs = r.legs[count:]
+	for _, s := range lot {
 		to, ok := s.peer()
 		if !ok {
-			n.pace.Answered(n.now, 0)
+			r.pace.Answered(n.now, 0)
 			continue
 		}
 		m := sip.NewRequest(sip.BYE, s.Target, s.Local, s.Remote, s.CallID, s.Seq+seqGap, 70)
-		for _, r := range s.Routes {
-			m.Add("Route", r)
+		for _, route := range s.Routes {
+			m.Add("Route", route)
 		}
 		m.Add("Reason", `SIP;cause=500;text="node restarted"`)
-		n.start(m, to, &storedBye{pace: n.pace, sent: n.now})
+		n.start(m, to, &storedBye{of: r, sent: n.now})
 		n.Stats.Released++
 	}
-	if n.stored = n.stored[lot:]; again > 0 {
-		n.heap.Set(&n.releaseNext, n.now+again, n.releaseSome)
+	if again > 0 {
+		n.heap.Set(&r.next, n.now+again, r.some)
+		return
+	}
+	n.heap.Stop(&r.next)
+	if r.pace.Done() {
+		n.releasing = slices.DeleteFunc(n.releasing, func(o *releases) bool { return o == r })
 	}
 }
 
+// holdsCalls says whether new calls have to wait for releases.
+func (n *Node) holdsCalls() bool {
+	return slices.ContainsFunc(n.releasing, func(r *releases) bool { return r.pace.Holds(n.now) })
+}
+
 func (s StoredLeg) peer() (sip.Peer, bool) {
 	u, err := sip.ParseURI("sip:" + s.To)
 	if err != nil {
@@ -112,7 +151,7 @@
 
 // storedBye is a BYE of ReleaseStored, as a transaction's user.
 type storedBye struct {
-	pace *release.Pace
+	of   *releases
 	sent time.Duration
 	done bool
 }
@@ -120,10 +159,8 @@
 func (n *Node) storedReleased(b *storedBye) {
 	if !b.done {
 		b.done = true
-		b.pace.Answered(n.now, n.now-b.sent)
-		if b.pace == n.pace {
-			n.releaseSome()
-		}
+		b.of.pace.Answered(n.now, n.now-b.sent)
+		b.of.some()
 	}
 }
 
@@ -143,7 +180,6 @@
 }
 
 type releaseState struct {
-	stored      []StoredLeg
-	pace        *release.Pace // nil where there was nothing to release
-	releaseNext timers.Timer
+	stored    []StoredLeg // until Start
+	releasing []*releases // by server
 }
--- a/internal/node/succeed.go
+++ b/internal/node/succeed.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"larkrouter/internal/pool"
-	"larkrouter/internal/release"
 	"larkrouter/internal/sip"
 )
 
@@ -61,10 +60,5 @@
 // calls wait no longer than the releases take, as after a restart.
 func (n *Node) ReleaseLater(now time.Duration, legs []StoredLeg) {
 	n.clock(now)
-	if len(legs) == 0 {
-		return
-	}
-	n.stored = append(n.stored, legs...)
-	n.pace = release.New(release.Settings{}, len(n.stored), n.now)
-	n.releaseSome()
+	n.releaseLegs(legs)
 }
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -1,5 +1,5 @@
-// Package release decides at which pace a node that was killed ends, in its next life, what it had left standing at the
-// servers, and when it takes new calls again. It has no I/O and no clock.
+// Package release decides at which pace a node that was killed ends, in its next life, what it had left standing at a
+// server, and when it takes new calls again. It has no I/O and no clock.
 //
 // Each release is work for a server, all nodes may have been killed together, and none knows of the others. So releases
 // are clocked by their answers: a few go out, more with each that is answered quickly, and one at a time, with rests in
@@ -20,7 +20,7 @@
 	Wait     time.Duration // new calls wait so long at the most; 300 ms
 }
 
-// Pace is that of one life.
+// Pace is that of one life at one server.
 type Pace struct {
 	set    Settings
 	left   int // not sent yet
@@ -88,5 +88,8 @@
 	p.next = max(p.next, now+min(time.Duration(p.set.Rest*float64(after)), p.set.RestMost))
 }
 
+// Done says whether all have been answered.
+func (p *Pace) Done() bool { return p.left+p.out == 0 }
+
 // Holds says whether new calls have to wait.
-func (p *Pace) Holds(now time.Duration) bool { return p != nil && p.left+p.out > 0 && now < p.until }
+func (p *Pace) Holds(now time.Duration) bool { return !p.Done() && now < p.until }
--- a/internal/release/release_test.go
+++ b/internal/release/release_test.go
@@ -89,8 +89,8 @@
 }
 
 func TestNothingToRelease(t *testing.T) {
-	var p *Pace
-	if p.Holds(0) {
-		t.Error("a node with no earlier life holds calls")
+	p := New(Settings{}, 0, 0)
+	if n, again := p.Lot(0); p.Holds(0) || !p.Done() || n != 0 || again != 0 {
+		t.Error("with nothing to release calls are held or something is sent")
 	}
 }
