Module: a test of the mean that goes on from an earlier life

Change: cold share of what was known with no answer yet, not more than that, and fading.

Result: fails without the flag and without the mean.

--- a/size_test.go
+++ b/size_test.go
@@ -100,6 +100,33 @@
 	}
 }
 
+// A node that was away for seconds goes on from the mean of what it knew: a server that starts then has its cold share of
+// that, and no more than that, though the node itself has had no answer yet; and what has not been seen again fades.
+func TestTheMeanGoesOn(t *testing.T) {
+	budget := func(known ...ServerMemory) (first, later float64) {
+		b := newBench(t, testSettings(), 3)
+		b.do(Remembered{known})
+		b.pass(2 * time.Second)
+		cold := ready(103, 3)
+		cold.Started = b.now
+		b.do(serverList(ListDelta, cold))
+		s := b.c.byID[103]
+		first = b.c.coldRate(s)
+		b.pass(30 * time.Second)
+		s.coldAt = b.now
+		return first, b.c.coldRate(s)
+	}
+	share := testSettings().ColdShare
+	none, _ := budget()
+	first, later := budget(ServerMemory{ID: 100, Best: 20}, ServerMemory{ID: 101, Best: 30}, ServerMemory{ID: 102, Best: 10})
+	if most := 20 * share; first < most/2 || first > most || none > most/10 {
+		t.Errorf("a cold server gets %v a second, %v from a node that knows nothing; between %v and %v is right", first, none, most/2, most)
+	}
+	if later > first/4 {
+		t.Errorf("after 30 s without an answer %v a second still", later)
+	}
+}
+
 // Where each of hundreds of nodes sees few answers, its best count is mostly chance, and high. So a cold server's budget
 // goes by the mean where that is far below.
 func TestColdBudgetByTheMean(t *testing.T) {
