--- a/internal/baseline/frame.go
+++ b/internal/baseline/frame.go
@@ -15,11 +15,12 @@
 // server is a call server as a policy sees it.
 type server struct {
 	larkrouter.ServerInfo
-	out   int     // set-ups without an answer
-	delay float64 // seconds, smoothed
-	rate  float64 // token gate: set-ups a second
-	room  float64 // tokens
-	at    time.Duration
+	out   int           // set-ups without an answer
+	delay float64       // seconds, smoothed
+	rate  float64       // token gate: set-ups a second
+	room  float64       // tokens
+	at    time.Duration // of the last look at the tokens
+	cutAt time.Duration // of the last cut of rate or window
 	loss  lossTold
 }
 
--- a/internal/baseline/loss.go
+++ b/internal/baseline/loss.go
@@ -21,7 +21,6 @@
 	share float64
 	seq   int
 	until time.Duration
-	at    time.Duration
 }
 
 // Ask marks an INVITE on its way to a server: the client takes part in overload control by loss (section 4.1).
--- a/internal/baseline/policies.go
+++ b/internal/baseline/policies.go
@@ -114,8 +114,8 @@
 }
 
 func (window) failed(f *frame, s *server, _ larkrouter.Outcome) {
-	if f.now-s.loss.at > gateHold { // its own clock of cuts
-		s.rate, s.loss.at = max(s.rate*0.67, 1), f.now
+	if f.now-s.cutAt > gateHold {
+		s.rate, s.cutAt = max(s.rate*0.67, 1), f.now
 	}
 }
 
@@ -182,7 +182,7 @@
 }
 
 func (tokenGate) failed(f *frame, s *server, _ larkrouter.Outcome) {
-	if f.now-s.loss.at > gateHold { // its own clock of cuts
-		s.rate, s.loss.at = max(s.rate*gateLess, 0.05/f.nodes), f.now
+	if f.now-s.cutAt > gateHold {
+		s.rate, s.cutAt = max(s.rate*gateLess, 0.05/f.nodes), f.now
 	}
 }
--- a/internal/demo/stage.go
+++ b/internal/demo/stage.go
@@ -35,6 +35,8 @@
 	Kill(name string)
 	// Do runs a function in a party's turn.
 	Do(name string, fn func(now time.Duration))
+	// Look runs a function that changes nothing beside a party's turns, if it is up: in virtual time it does not even show.
+	Look(name string, fn func(now time.Duration))
 	// Stall lets a party stand still for a while: it reads nothing and does nothing.
 	Stall(name string, d time.Duration)
 	// Play runs the script: each step at its time after the start, until the end.
@@ -83,6 +85,9 @@
 	}
 	self := p.Addr.String()
 	return func(now time.Duration, dir actor.Direction, peer sip.Peer, m *sip.Message) {
+		if p.Tap != nil {
+			p.Tap(now, dir, peer, m)
+		}
 		r.Add(rules.Record{Time: now, Kind: "msg", At: p.Kind, Dir: string(dir), Self: self, Peer: peer.String(), Msg: m.Clone()})
 	}
 }
@@ -165,6 +170,9 @@
 // Do implements Stage.
 func (v *Virtual) Do(name string, fn func(time.Duration)) { v.Net.Do(name, fn) }
 
+// Look implements Stage.
+func (v *Virtual) Look(name string, fn func(time.Duration)) { v.Net.Look(name, fn) }
+
 // Stall implements Stage.
 func (v *Virtual) Stall(name string, d time.Duration) { v.Net.Stall(name, d) }
 
@@ -271,6 +279,9 @@
 	}
 }
 
+// Look implements Stage.
+func (s *Sockets) Look(name string, fn func(time.Duration)) { s.Do(name, fn) }
+
 // Stall implements Stage.
 func (s *Sockets) Stall(name string, d time.Duration) {
 	s.mu.Lock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -272,6 +272,13 @@
 	}
 }
 
+// lookAt runs a function that changes nothing beside a server's turns, if it is up.
+func (f *Fleet) lookAt(i int, fn func(s *standin.CallServer, now time.Duration)) {
+	if s := f.servers[i]; !s.down {
+		f.stage.Look(s.party.Name, func(now time.Duration) { fn(s.act, now) })
+	}
+}
+
 func (f *Fleet) bootServer(i int, isCold bool) error {
 	s := f.servers[i]
 	if s.act != nil && s.act.Over {
@@ -361,7 +368,7 @@
 	for i, n := range f.Nodes {
 		if !f.down[i] && n != nil {
 			wall := f.wall(i)
-			f.stage.Do(f.nodeName(i), func(time.Duration) {
+			f.stage.Look(f.nodeName(i), func(time.Duration) {
 				kept := n.Memory(wall)
 				f.kept[i] = &kept
 				f.stores.keepList(f.nodeName(i), n.Kept(wall))
@@ -459,7 +466,7 @@
 	}
 	work := 0.0
 	for i := range f.servers {
-		f.onServer(i, func(s *standin.CallServer, now time.Duration) {
+		f.lookAt(i, func(s *standin.CallServer, now time.Duration) {
 			if !s.Over {
 				s.At(now)
 				work += s.Unpressed() * f.servers[i].fast * f.sampling.Seconds()
@@ -493,7 +500,7 @@
 	n := f.fell
 	for i, s := range f.servers {
 		over := s.act.Over
-		f.onServer(i, func(s *standin.CallServer, _ time.Duration) { over = s.Over })
+		f.lookAt(i, func(s *standin.CallServer, _ time.Duration) { over = s.Over })
 		if over {
 			n++
 		}
@@ -505,7 +512,7 @@
 func (f *Fleet) Counts() []standin.ClassCounts {
 	sum := make([]standin.ClassCounts, len(f.classes))
 	for j, c := range f.callers {
-		f.stage.Do(fmt.Sprintf("callers-%d", j), func(time.Duration) {
+		f.stage.Look(fmt.Sprintf("callers-%d", j), func(time.Duration) {
 			for i, n := range c.Counts {
 				sum[i].Add(n)
 			}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"larkrouter/days"
 	"larkrouter/internal/baseline"
@@ -287,3 +289,35 @@
 		t.Errorf("offered by class %d, and %d where work varies", offered[0], offered[1])
 	}
 }
+
+// A day is the same whether somebody looks at every second of it or not, and so a day that the lab has found comes back
+// wherever it is played. Nodes that stand still are seen as they stand.
+func TestLookingChangesNothing(t *testing.T) {
+	t.Parallel()
+	var seen [2]string
+	for i := range seen {
+		d := kept(t, "worn", func(d *day.Fleet) { d.Nodes, d.Servers, d.Rate, d.Seconds = 12, 4, 90, 25 })
+		d.Trouble = append(d.Trouble, day.Trouble{What: "stall nodes", At: 0.1, Nodes: 1, For: day.Duration(3 * time.Second)})
+		opt, looks := Options{Day: d, Seed: 7}, 0
+		if i == 1 {
+			opt.Sample = func(s Sample) {
+				looks++
+				if at := s.At.Seconds(); at >= 3 && at <= 5 && (s.Calls < 100 || s.Nodes != 12) {
+					t.Errorf("at %v, as all nodes stand still: %d calls stand at %d nodes", s.At, s.Calls, s.Nodes)
+				}
+			}
+		}
+		f, err := NewVirtual(opt)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rep := f.Play(t.Context())
+		seen[i] = fmt.Sprintf("%v, %v, %d records, %v", rep, f.Counts(), f.Records, f.Most())
+		if i == 1 && looks != 35 {
+			t.Errorf("%d looks", looks)
+		}
+	}
+	if seen[0] != seen[1] {
+		t.Errorf("%s\nand looked at:\n%s", seen[0], seen[1])
+	}
+}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -189,8 +189,7 @@
 
 // kill ends a process without a word, and waits for that.
 func (p *processes) kill(i int) {
-	p.signal(i, syscall.SIGCONT)
-	p.signal(i, syscall.SIGKILL)
+	p.signal(i, syscall.SIGKILL) // one that is stopped ends as well
 	if p.ended[i] != nil {
 		<-p.ended[i]
 	}
--- a/internal/fleet/script.go
+++ b/internal/fleet/script.go
@@ -259,7 +259,7 @@
 		if n == nil {
 			continue
 		}
-		f.stage.Do(f.nodeName(i), func(time.Duration) {
+		f.stage.Look(f.nodeName(i), func(time.Duration) {
 			w, s := n.Open()
 			waiting, standing = waiting+w, standing+s
 		})
@@ -274,7 +274,7 @@
 		if n == nil {
 			continue
 		}
-		f.stage.Do(f.nodeName(i), func(now time.Duration) {
+		f.stage.Look(f.nodeName(i), func(now time.Duration) {
 			if n.Snapshot(now).List == node.ListHeld {
 				held++
 			}
--- a/internal/fleet/series.go
+++ b/internal/fleet/series.go
@@ -61,7 +61,7 @@
 		if n == nil {
 			continue // a process of its own
 		}
-		f.stage.Do(f.nodeName(i), func(now time.Duration) { f.gates(n, now, &s, gates, shut) })
+		f.stage.Look(f.nodeName(i), func(now time.Duration) { f.gates(n, now, &s, gates, shut) })
 	}
 	for i, sv := range f.servers {
 		row := &s.Servers[i]
@@ -72,7 +72,7 @@
 		if s.Nodes > 0 {
 			row.Shut = float64(shut[i]) / float64(s.Nodes)
 		}
-		f.onServer(i, func(a *standin.CallServer, now time.Duration) {
+		f.lookAt(i, func(a *standin.CallServer, now time.Duration) {
 			a.At(now)
 			row.Up, row.Speed, row.Wait, row.Line = !a.Over, a.Speed(), a.Wait(), a.Line()
 			row.SetUps, row.Away = a.Count.SetUps, a.Count.TurnedAway
@@ -83,7 +83,7 @@
 	}
 	f.last = Sample{Classes: total, Servers: make([]ServerSample, len(f.servers))}
 	for i := range f.servers {
-		f.onServer(i, func(a *standin.CallServer, _ time.Duration) {
+		f.lookAt(i, func(a *standin.CallServer, _ time.Duration) {
 			f.last.Servers[i].SetUps, f.last.Servers[i].Away = a.Count.SetUps, a.Count.TurnedAway
 		})
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -41,7 +41,6 @@
 	Silent      bool           // answers tell no wait
 	Control     bool           // answers carry RFC 7339's oc for nodes that ask for it
 	Lines       int            // calls that can stand or be on their way at once; one more is turned away; 0: no limit
-	Refuse      int            // status of a refusal; 0: 503
 }
 
 // ServerCounts are what a call server saw.
@@ -344,11 +343,7 @@
 	if s.cfg.MaxWait > 0 && wait > s.cfg.MaxWait || s.cfg.Queue > 0 && s.setUps() >= s.cfg.Queue {
 		s.Count.TurnedAway++
 		s.push(job{work: s.cfg.Refusal, done: func() {}})
-		status := s.cfg.Refuse
-		if status == 0 {
-			status = 503
-		}
-		r := s.response(m, status, s.id.Token())
+		r := s.response(m, 503, s.id.Token())
 		r.Add("Retry-After", strconv.Itoa(int(wait/time.Second)+1))
 		t.Respond(r)
 		return
--- a/internal/virtual/net.go
+++ b/internal/virtual/net.go
@@ -5,8 +5,10 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"larkrouter/internal/actor"
@@ -17,8 +19,6 @@
 type Net struct {
 	Delay  time.Duration // one way
 	Jitter time.Duration // more, at the most, drawn evenly
-	// Drop, if set, says whether a datagram is lost on its way.
-	Drop func(now time.Duration, from, to netip.AddrPort, m *sip.Message) bool
 	// Path, if set, says what more the way between two hosts does to a message.
 	Path func(now time.Duration, from, to netip.AddrPort) Path
 	// Missed, if set, is told of each message that does not get there in its time: until then, or never where that is 0.
@@ -34,7 +34,7 @@
 	hosts   map[string]*host
 	order   []*host
 	at      map[netip.AddrPort]*host
-	conns   map[uint64]*conn
+	conns   map[uint64]*conn  // that are open
 	open    map[connKey]*conn // by who opened them and to where
 	count   uint64
 }
@@ -69,8 +69,7 @@
 	ends   [2]*host
 	port   [2]netip.AddrPort
 	last   [2]time.Duration // what was sent last arrives then, by end: a connection keeps order
-	open   bool
-	broken bool // by Break: what was on its way is lost
+	broken bool             // by Break: what was on its way is lost
 }
 
 type event struct {
@@ -131,44 +130,35 @@
 			delete(n.at, ap)
 		}
 	}
-	for id := uint64(1); id <= n.count; id++ {
-		c := n.conns[id]
-		if c == nil || !c.open || c.ends[0] != h && c.ends[1] != h {
-			continue
-		}
-		c.open = false
-		delete(n.conns, id)
-		delete(n.open, connKey{c.ends[0], c.port[1]})
-		other, end := c.ends[0], 0
-		if other == h {
-			other, end = c.ends[1], 1
-		}
-		peer := sip.Peer{Transport: sip.TCP, Addr: c.port[1-end], Conn: c.id}
-		n.At(n.now+n.Delay, func() { n.deliver(other, func() { other.act.Lost(n.now, peer, sip.ErrLost) }) })
-	}
+	n.hangUp(h)
 }
 
 // Break resets all connections of a host, as a middlebox or a fault of its system may; what is on its way over them is
 // lost. Both ends learn of it.
 func (n *Net) Break(name string) {
-	h := n.hosts[name]
-	if h == nil || !h.up {
-		return
+	if h := n.hosts[name]; h != nil && h.up {
+		for _, c := range n.hangUp(h) {
+			c.broken = true
+		}
 	}
-	for id := uint64(1); id <= n.count; id++ {
+}
+
+// hangUp ends a host's connections, in the order in which they were opened; the ends that are up learn of it.
+func (n *Net) hangUp(h *host) (ended []*conn) {
+	for _, id := range slices.Sorted(maps.Keys(n.conns)) {
 		c := n.conns[id]
-		if c == nil || !c.open || c.ends[0] != h && c.ends[1] != h {
+		if c.ends[0] != h && c.ends[1] != h {
 			continue
 		}
-		c.open = false
 		delete(n.conns, id)
 		delete(n.open, connKey{c.ends[0], c.port[1]})
 		for end, who := range c.ends {
 			peer := sip.Peer{Transport: sip.TCP, Addr: c.port[1-end], Conn: c.id}
 			n.At(n.now+n.Delay, func() { n.deliver(who, func() { who.act.Lost(n.now, peer, sip.ErrLost) }) })
 		}
-		c.broken = true
+		ended = append(ended, c)
 	}
+	return ended
 }
 
 // Stall keeps an actor from doing anything for a while; what comes waits.
@@ -192,6 +182,13 @@
 	}
 }
 
+// Look runs a function beside an actor's turns: it may look, and what it sees is not changed by it.
+func (n *Net) Look(name string, fn func(now time.Duration)) {
+	if h := n.hosts[name]; h != nil && h.up {
+		fn(n.now)
+	}
+}
+
 // Run goes on until a time, then stops with all events up to it done.
 func (n *Net) Run(until time.Duration) {
 	for len(n.queue) > 0 && n.queue[0].at <= until {
@@ -274,7 +271,7 @@
 		way = n.Path(n.now, src, dst)
 	}
 	if to.Transport == sip.UDP {
-		if way.Lost || n.Drop != nil && n.Drop(n.now, src, to.Addr, m) {
+		if way.Lost {
 			n.missed(0, src, to, m)
 			return
 		}
@@ -318,6 +315,7 @@
 	}
 	n.At(c.last[end], func() {
 		if c.broken {
+			n.missed(0, src, to, m)
 			return
 		}
 		read(dst, from) // also when its sender has died meanwhile: the kernel had it already
@@ -334,7 +332,7 @@
 func (n *Net) held(h *host) int {
 	k := 0
 	for _, c := range n.open {
-		if c.open && c.ends[1] == h {
+		if c.ends[1] == h {
 			k++
 		}
 	}
@@ -343,12 +341,12 @@
 
 func (n *Net) connection(h *host, to sip.Peer) *conn {
 	if to.Conn != 0 {
-		if c := n.conns[to.Conn]; c != nil && c.open {
+		if c := n.conns[to.Conn]; c != nil {
 			return c
 		}
 		return nil
 	}
-	if c := n.open[connKey{h, to.Addr}]; c != nil && c.open {
+	if c := n.open[connKey{h, to.Addr}]; c != nil {
 		return c
 	}
 	dst := n.at[to.Addr]
@@ -362,7 +360,7 @@
 		return nil
 	}
 	n.count++
-	c := &conn{id: n.count, ends: [2]*host{h, dst}, open: true}
+	c := &conn{id: n.count, ends: [2]*host{h, dst}}
 	c.port[0] = netip.AddrPortFrom(h.addrs[0].Addr(), uint16(20000+n.count%40000))
 	c.port[1] = to.Addr
 	n.conns[c.id], n.open[connKey{h, to.Addr}] = c, c
