Checker: answers late on their way, sends on a broken connection

Change: a send where there is no connection any more is told as lost; a late final answer counts from when its node sent it, and what it overtakes on the way is no break.

--- a/internal/rules/check.go
+++ b/internal/rules/check.go
@@ -166,8 +166,8 @@
 	deadline time.Duration
 	unheard  bool // the one INVITE so far was lost on its way
 	accepted bool
-	final    string // status and tag of the one final answer
-	finalAt  time.Duration
+	final    string        // status and tag of the one final answer
+	sent     time.Duration // when its node sent the final answer, if that arrives late; 0: it did not
 }
 
 func callKey(m *sip.Message) string {
@@ -219,10 +219,14 @@
 	final := fmt.Sprintf("%d (tag %s)", m.Status, m.Tag("To"))
 	switch {
 	case k.final == "":
-		k.final, k.finalAt = final, r.Time
+		k.final = final
 		c.report.Rules[0].Checks++
-		if k.deadline >= 0 && r.Time > k.deadline+c.f.AnswerSlack && !c.excused(k, r.Time) {
-			c.broken(1, r.Time, "call %s: final answer %s came %v after its deadline", k.id, final, r.Time-k.deadline)
+		at := r.Time
+		if k.sent > 0 {
+			at = k.sent
+		}
+		if k.deadline >= 0 && at > k.deadline+c.f.AnswerSlack && !c.excused(k, at) {
+			c.broken(1, at, "call %s: final answer %s came %v after its deadline", k.id, final, at-k.deadline)
 		}
 	case k.final != final:
 		c.broken(1, r.Time, "call %s: a second final answer %s after %s", k.id, final, k.final)
@@ -272,6 +276,10 @@
 		in.Self, in.Peer = peer, r.Peer[:strings.IndexByte(r.Peer, ':')+1]+r.Self
 		c.attempt(&in).due = r.Until
 	case k == nil:
+	case !m.IsRequest() && method == sip.INVITE && r.Until > 0: // to a caller, late
+		if m.Status >= 200 && k.sent == 0 {
+			k.sent = r.Time
+		}
 	case !m.IsRequest() && method == sip.INVITE: // to a caller
 		in := *r
 		in.Dir = "in"
--- a/internal/rules/check_test.go
+++ b/internal/rules/check_test.go
@@ -154,6 +154,26 @@
 			c.lost(900, 0, nodeAt, callerAt, sip.NewResponse(m, 503, "", "t"))
 			c.msg(1400, "caller", "in", callerAt, sip.NewResponse(m, 503, "", "t"))
 		}},
+		{"answered in time, the answer late on its way", "", func(c *capture) {
+			m := invite("a", "s", callerAt)
+			c.msg(0, "caller", "out", callerAt, m)
+			c.lost(990, 1400, nodeAt, callerAt, sip.NewResponse(m, 503, "", "t"))
+			c.msg(1400, "caller", "in", callerAt, sip.NewResponse(m, 503, "", "t"))
+		}},
+		{"ringing overtaken by the answer on its way", "", func(c *capture) {
+			m := invite("a", "s", callerAt)
+			c.msg(0, "caller", "out", callerAt, m)
+			c.lost(100, 300, nodeAt, callerAt, sip.NewResponse(m, 180, "", "t"))
+			c.lost(200, 400, nodeAt, callerAt, sip.NewResponse(m, 503, "", "t"))
+			c.msg(300, "caller", "in", callerAt, sip.NewResponse(m, 180, "", "t"))
+			c.msg(400, "caller", "in", callerAt, sip.NewResponse(m, 503, "", "t"))
+		}},
+		{"answered late, and late on its way", "1", func(c *capture) {
+			m := invite("a", "s", callerAt)
+			c.msg(0, "caller", "out", callerAt, m)
+			c.lost(1100, 1400, nodeAt, callerAt, sip.NewResponse(m, 503, "", "t"))
+			c.msg(1400, "caller", "in", callerAt, sip.NewResponse(m, 503, "", "t"))
+		}},
 		{"called off, the CANCEL lost", "", func(c *capture) {
 			m := c.attempt(0, one, "a", "s")
 			c.answer(5, one, m, 100)
--- a/internal/virtual/net.go
+++ b/internal/virtual/net.go
@@ -295,6 +295,7 @@
 	}
 	c := n.connection(h, to)
 	if c == nil {
+		n.missed(0, src, to, m)
 		n.At(n.later(), func() {
 			n.deliver(h, func() { h.act.Lost(n.now, to, fmt.Errorf("%v: %w", to, sip.ErrRefused)) })
 		})
