--- a/internal/rules/check.go
+++ b/internal/rules/check.go
@@ -411,7 +411,7 @@
 		return // the server is gone, and with it the attempt
 	case old.bye >= 0:
 		return
-	case old.tcp && old.rung >= 0 && c.reset(old, at) >= 0: // its connection broke: nobody can cancel it
+	case c.reset(old, at) >= 0: // its connection broke: nobody can cancel it
 		guard(c.reset(old, at), "a reset connection")
 	case old.rung >= 0 && old.rung < at-late, old.answered >= 0 && old.answered < at-late:
 		c.broken(2, at, "session %s: set-up at %s while the one at %s is out", a.session, a.server, old.server)
@@ -422,10 +422,14 @@
 	}
 }
 
-// reset is when an attempt's connection was reset, before a time; -1: it was not.
+// reset is when an attempt's connection was reset, before a time and after its node had heard of it but no end; -1: it
+// was not. What a node never heard of it may have given up before.
 func (c *checker) reset(a *attemptSeen, before time.Duration) time.Duration {
+	if !a.tcp || a.rung < 0 {
+		return -1
+	}
 	for _, at := range c.resets[a.server] {
-		if at >= a.first && at <= before && (a.answered < 0 || a.answered+c.f.Slack >= at) {
+		if at >= max(a.first, a.rung) && at <= before && (a.answered < 0 || a.answered+c.f.Slack >= at) {
 			return at
 		}
 	}
--- a/internal/rules/check_test.go
+++ b/internal/rules/check_test.go
@@ -38,6 +38,13 @@
 	return m
 }
 
+// tcp is an attempt by TCP.
+func (c *capture) tcp(at int, server, id, session string) *sip.Message {
+	m := c.attempt(at, server, id, session)
+	(*c)[len(*c)-1].Peer = "tcp:" + nodeAt
+	return m
+}
+
 func (c *capture) answer(at int, server string, m *sip.Message, status int) {
 	c.msg(at, "server", "out", server, sip.NewResponse(m, status, "", "s"))
 }
@@ -190,6 +197,25 @@
 			c.lost(0, 3000, nodeAt, one, invite("a", "s", nodeAt))
 			c.attempt(50, two, "b", "s")
 		}},
+		{"reset with its connection, the guard awaited", "", func(c *capture) {
+			m := c.tcp(0, one, "a", "s")
+			c.answer(5, one, m, 100)
+			*c = append(*c, Record{Time: ms(100), Kind: "reset", Self: one})
+			c.attempt(420, two, "b", "s")
+		}},
+		{"reset with its connection, sent again at once", "5", func(c *capture) {
+			m := c.tcp(0, one, "a", "s")
+			c.answer(5, one, m, 100)
+			*c = append(*c, Record{Time: ms(100), Kind: "reset", Self: one})
+			c.attempt(200, two, "b", "s")
+		}},
+		{"given up before its connection was reset, nothing heard", "", func(c *capture) {
+			m := c.tcp(0, one, "a", "s")
+			c.answer(5, one, m, 100)
+			c.lost(5, 900, one, nodeAt, sip.NewResponse(m, 100, "", ""))
+			*c = append(*c, Record{Time: ms(400), Kind: "reset", Self: one})
+			c.attempt(500, two, "b", "s")
+		}},
 		{"two at once", "2", func(c *capture) {
 			m := c.attempt(0, one, "a", "s")
 			c.answer(5, one, m, 100)
