--- a/cmd/larkrouter/fleet.go
+++ b/cmd/larkrouter/fleet.go
@@ -3,23 +3,20 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"os"
 	"os/signal"
 	"runtime"
-	"strings"
+	"slices"
 	"syscall"
 	"text/tabwriter"
 	"time"
 
-	"golang.org/x/sync/errgroup"
 	"gonum.org/v1/gonum/stat"
 
-	"larkrouter/days"
 	"larkrouter/internal/day"
 	"larkrouter/internal/demo"
 	"larkrouter/internal/fleet"
-	"larkrouter/internal/rules"
+	"larkrouter/internal/lab"
 )
 
 type fleetCmd struct {
@@ -39,44 +36,34 @@
 
 // read is the day with what the command line changes.
 func (c *fleetCmd) read() (*day.File, error) {
-	name, b, err := c.Day+".toml", []byte(nil), error(nil)
-	if strings.HasSuffix(c.Day, ".toml") {
-		name = c.Day
-		b, err = os.ReadFile(c.Day)
-	} else {
-		b, err = days.Read(c.Day)
-	}
-	if err != nil {
-		return nil, err
-	}
-	d, err := day.Read(name, b)
+	d, err := readDay(c.Day)
 	if err != nil {
 		return nil, err
 	}
-	f := &d.Fleet
-	for _, v := range []struct{ from, to *int }{{c.Nodes, &f.Nodes}, {c.Servers, &f.Servers}, {c.Size, &f.Size}} {
+	var set []string
+	for _, v := range []struct {
+		key  string
+		from *int
+	}{{"nodes", c.Nodes}, {"servers", c.Servers}, {"size", c.Size}} {
 		if v.from != nil {
-			*v.to = *v.from
+			set = append(set, fmt.Sprintf("fleet.%s=%d", v.key, *v.from))
 		}
 	}
-	for _, v := range []struct{ from, to *float64 }{{c.Rate, &f.Rate}, {c.Load, &f.Load}, {c.Seconds, &f.Seconds}} {
+	for _, v := range []struct {
+		key  string
+		from *float64
+	}{{"rate", c.Rate}, {"load", c.Load}, {"seconds", c.Seconds}} {
 		if v.from != nil {
-			*v.to = *v.from
+			set = append(set, fmt.Sprintf("fleet.%s=%g", v.key, *v.from))
 		}
 	}
-	if f.Nodes < 1 || f.Servers < 1 || !(f.Rate > 0) || !(f.Load > 0) || f.Seconds < 10 {
-		return nil, fmt.Errorf("fleet: %d nodes, %d servers, %g calls a second at load %g for %g s: one node and server, a rate and "+
-			"a load above 0 "+
-			"and 10 s at least are right", f.Nodes, f.Servers, f.Rate, f.Load, f.Seconds)
+	if c.Untold {
+		set = append(set, "fleet.tell_size=false")
 	}
-	f.Tell = f.Tell && !c.Untold
 	if c.Calm {
 		d.Trouble = nil
 	}
-	for i := range d.Trouble {
-		d.Trouble[i].Server = min(d.Trouble[i].Server, f.Servers-1)
-	}
-	return d, nil
+	return lab.With(d, set)
 }
 
 func (c *fleetCmd) Run() error {
@@ -143,43 +130,28 @@
 
 // many plays days side by side over the cores; each is the same as if it were played alone.
 func (c *fleetCmd) many(ctx context.Context, d *day.File) error {
-	type result struct {
-		rep          rules.Report
-		fallen       int
-		served, most float64
-	}
-	all := make([]result, c.Seeds)
-	g, ctx := errgroup.WithContext(ctx)
-	g.SetLimit(runtime.GOMAXPROCS(0))
-	for i := range all {
-		g.Go(func() error {
-			f, err := fleet.NewVirtual(fleet.Options{Day: d, Seed: c.Seed + uint64(i)})
-			if err != nil {
-				return err
-			}
-			rep := f.Play(ctx)
-			all[i] = result{rep, f.Fallen(), f.Served(), f.Most()}
-			return ctx.Err()
-		})
-	}
-	if err := g.Wait(); err != nil {
+	specs := make([]lab.Spec, c.Seeds)
+	for i := range specs {
+		specs[i] = lab.Spec{Day: d, Policy: fleet.Module, Seed: c.Seed + uint64(i)}
+	}
+	all, err := (&lab.Runner{}).Run(ctx, specs)
+	if err != nil {
 		return err
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "seed\tbroken\tpushed over\tserved\tthe most\t")
-	served, most := make([]float64, len(all)), make([]float64, len(all))
-	broken, fallen, least := 0, 0, 1.0
-	for i, r := range all {
-		served[i], most[i] = r.served, r.most
-		broken, fallen, least = broken+r.rep.Broken(), fallen+r.fallen, min(least, r.served)
-		fmt.Fprintf(w, "%d\t%d\t%d\t%.3f\t%.3f\t\n", c.Seed+uint64(i), r.rep.Broken(), r.fallen, r.served, r.most)
-	}
-	mean, dev := stat.MeanStdDev(served, nil)
-	fmt.Fprintf(w, "mean\t%d\t%d\t%.3f ± %.3f\t%.3f\t\n", broken, fallen, mean, 1.96*dev/math.Sqrt(float64(len(all))), stat.Mean(most, nil))
+	for i := range all {
+		r := &all[i]
+		fmt.Fprintf(w, "%d\t%d\t%d\t%.3f\t%.3f\t\n", r.Seed, r.Broken(), r.Fallen, r.Served, r.Most)
+	}
+	g := lab.Groups(all)[0]
+	broken, fallen := g.Broken()
+	served, most := g.Of(func(r *lab.Result) float64 { return r.Served }), g.Of(func(r *lab.Result) float64 { return r.Most })
+	fmt.Fprintf(w, "mean\t%d\t%d\t%s\t%.3f\t\n", broken, fallen, plusMinus(g.Served()), stat.Mean(most, nil))
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	fmt.Printf("least served %.3f; rules broken %d, servers pushed over %d in %d days\n", least, broken, fallen, len(all))
+	fmt.Printf("least served %.3f; rules broken %d, servers pushed over %d in %d days\n", slices.Min(served), broken, fallen, len(all))
 	if broken+fallen > 0 {
 		return errSilent
 	}
--- a/cmd/larkrouter/lab.go
+++ b/cmd/larkrouter/lab.go
@@ -16,7 +16,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"larkrouter/days"
 	"larkrouter/internal/baseline"
 	"larkrouter/internal/day"
 	"larkrouter/internal/fleet"
@@ -41,19 +40,7 @@
 	Out  string   `type:"path" help:"Directory for the results; what is there already is not played again."`
 }
 
-func readDay(name string) (*day.File, error) {
-	file, b, err := name+".toml", []byte(nil), error(nil)
-	if strings.HasSuffix(name, ".toml") {
-		file = name
-		b, err = os.ReadFile(name)
-	} else {
-		b, err = days.Read(name)
-	}
-	if err != nil {
-		return nil, err
-	}
-	return day.Read(file, b)
-}
+func readDay(name string) (*day.File, error) { return day.Open(name, os.ReadFile) }
 
 // specs are the plays of some days, settings, policies and seeds.
 func (c *labDays) specs(points [][]string, policies []string, seeds int, version string) ([]lab.Spec, error) {
@@ -343,14 +330,40 @@
 }
 
 type labHuntCmd struct {
-	Seed   uint64   `default:"1" help:"Seed of what is drawn."`
-	Budget int      `default:"160" help:"Plays of the search; cutting down takes more."`
-	Rules  bool     `help:"Look for a rule that breaks, in place of the worst served."`
-	Keep   int      `default:"3" help:"Days to come back with."`
-	Only   []string `help:"Kinds of trouble to draw; empty: all."`
-	Nodes  int      `help:"Nodes at the most; 0: 24."`
-	Jobs   int      `help:"Plays at once; 0: as many as cores."`
-	Out    string   `type:"path" help:"Directory for the days found."`
+	Seed   uint64    `default:"1" help:"Seed of what is drawn."`
+	Budget int       `default:"160" help:"Plays of the search; cutting down takes more."`
+	Rules  bool      `help:"Look for a rule that breaks, in place of the worst served."`
+	Keep   int       `default:"3" help:"Days to come back with."`
+	Only   []string  `help:"Kinds of trouble to draw; empty: all."`
+	Nodes  []int     `default:"3,24" help:"Least and most nodes."`
+	Server []int     `name:"servers" default:"2,6" help:"Least and most call servers."`
+	Load   []float64 `default:"0.5,1.2" help:"Least and most load."`
+	Secs   float64   `name:"seconds" default:"40" help:"How long callers dial."`
+	Jobs   int       `help:"Plays at once; 0: as many as cores."`
+	Out    string    `type:"path" help:"Directory for the days found."`
+}
+
+// ranges are what is drawn from.
+func (c *labHuntCmd) ranges() (lab.Ranges, error) {
+	r := lab.DefaultRanges()
+	r.Only, r.Seconds = c.Only, c.Secs
+	wrong := func(what string) (lab.Ranges, error) {
+		return r, fmt.Errorf("lab hunt: %s: two values, the least above 0 and the most no less, are right, as 3,24", what)
+	}
+	if len(c.Nodes) != 2 || c.Nodes[0] < 1 || c.Nodes[1] < c.Nodes[0] {
+		return wrong("--nodes")
+	}
+	if len(c.Server) != 2 || c.Server[0] < 1 || c.Server[1] < c.Server[0] {
+		return wrong("--servers")
+	}
+	if len(c.Load) != 2 || c.Load[0] <= 0 || c.Load[1] < c.Load[0] {
+		return wrong("--load")
+	}
+	if c.Secs < 10 {
+		return r, fmt.Errorf("lab hunt: --seconds %g: 10 or more is right", c.Secs)
+	}
+	r.Nodes, r.Servers, r.Load = [2]int(c.Nodes), [2]int(c.Server), [2]float64(c.Load)
+	return r, nil
 }
 
 func (c *labHuntCmd) Run() error {
@@ -360,15 +373,15 @@
 	if err != nil {
 		return err
 	}
-	h := lab.Hunt{Runner: lab.Runner{Jobs: c.Jobs}, Ranges: lab.DefaultRanges(), Seed: c.Seed, Budget: c.Budget, Rules: c.Rules, Keep: c.Keep,
+	h := lab.Hunt{Runner: lab.Runner{Jobs: c.Jobs}, Seed: c.Seed, Budget: c.Budget, Rules: c.Rules, Keep: c.Keep,
 		Version: version, Say: func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) }}
 	for _, k := range c.Only {
 		if needs, _ := day.Keys(k); needs == nil {
 			return fmt.Errorf("lab hunt: there is no trouble %q: one of %s is right", k, strings.Join(lab.Drawn(), ", "))
 		}
 	}
-	if h.Only = c.Only; c.Nodes > 0 {
-		h.Ranges.Nodes[1], h.Ranges.Nodes[0] = c.Nodes, min(h.Ranges.Nodes[0], c.Nodes)
+	if h.Ranges, err = c.ranges(); err != nil {
+		return err
 	}
 	found, plays, err := h.Run(ctx)
 	if err != nil {
--- a/internal/day/day.go
+++ b/internal/day/day.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"larkrouter/days"
 	"larkrouter/internal/tomlfile"
 )
 
@@ -68,6 +69,21 @@
 	}
 }
 
+// Open is the day of a name: one that comes with the program, or a path that ends in .toml.
+func Open(name string, read func(path string) ([]byte, error)) (*File, error) {
+	file, b, err := name+".toml", []byte(nil), error(nil)
+	if strings.HasSuffix(name, ".toml") {
+		file = name
+		b, err = read(name)
+	} else {
+		b, err = days.Read(name)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return Read(file, b)
+}
+
 // Read reads a day file's content; name is for the errors.
 func Read(name string, b []byte) (*File, error) {
 	f, faults := tomlfile.Read(name, b, Default)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"larkrouter/days"
 	"larkrouter/internal/baseline"
 	"larkrouter/internal/day"
 	"larkrouter/internal/demo"
@@ -17,11 +16,7 @@
 // kept is a day that comes with the program, in another size.
 func kept(t *testing.T, name string, change func(*day.Fleet)) *day.File {
 	t.Helper()
-	b, err := days.Read(name)
-	if err != nil {
-		t.Fatal(err)
-	}
-	d, err := day.Read(name+".toml", b)
+	d, err := day.Open(name, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/hunt.go
+++ b/internal/lab/hunt.go
@@ -158,24 +158,23 @@
 	f.Why = fmt.Sprintf("random %.3f, module %.3f, oracle %.3f, %.2f of the way", low, served, high, Way(served, low, high))
 }
 
-// apart keeps days that differ in their first trouble, so that a hunt does not come back with one day many times.
+// apart keeps the worst days that have no kind of trouble in common, so that a hunt does not come back with one day many
+// times; where there are not enough of them, the worst of the rest.
 func (h *Hunt) apart(found []Find) []Find {
 	seen := map[string]bool{}
-	var kept []Find
+	var kept, rest []Find
 	for _, f := range found {
-		kinds := ""
-		for _, t := range f.Day.Trouble {
-			kinds = max(kinds, t.What) // any one of them stands for all
-		}
-		if seen[kinds] && !h.Rules {
+		like := slices.ContainsFunc(f.Day.Trouble, func(t day.Trouble) bool { return seen[t.What] })
+		if like || len(kept) == h.Keep {
+			rest = append(rest, f)
 			continue
 		}
-		seen[kinds] = true
-		if kept = append(kept, f); len(kept) == h.Keep {
-			break
+		for _, t := range f.Day.Trouble {
+			seen[t.What] = true
 		}
+		kept = append(kept, f)
 	}
-	return kept
+	return append(kept, rest[:min(len(rest), h.Keep-len(kept))]...)
 }
 
 // shrinkMost bounds the plays that cutting one day down may take.
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -15,7 +15,6 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"larkrouter"
-	"larkrouter/days"
 	"larkrouter/internal/day"
 	"larkrouter/internal/fleet"
 )
@@ -23,11 +22,7 @@
 // small is a kept day, small enough to be played often.
 func small(t *testing.T, name string, set ...string) *day.File {
 	t.Helper()
-	b, err := days.Read(name)
-	if err != nil {
-		t.Fatal(err)
-	}
-	d, err := day.Read(name+".toml", b)
+	d, err := day.Open(name, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -388,3 +383,24 @@
 	}
 	t.Logf("%d MB from the system, served %.3f", m.Sys>>20, p.Served)
 }
+
+// Days that a hunt comes back with have no trouble in common as far as there are such days.
+func TestFindsAreApart(t *testing.T) {
+	of := func(name string, kinds ...string) Find {
+		d := &day.File{Name: name}
+		for _, k := range kinds {
+			d.Trouble = append(d.Trouble, day.Trouble{What: k})
+		}
+		return Find{Day: d}
+	}
+	found := []Find{of("a", "burst", "pauses"), of("b", "burst"), of("c", "pauses", "late list"), of("d", "late list"), of("e", "burst")}
+	for keep, want := range map[int]string{1: "a", 2: "ad", 3: "adb", 9: "adbce"} {
+		got := ""
+		for _, f := range (&Hunt{Keep: keep}).apart(found) {
+			got += f.Day.Name
+		}
+		if got != want {
+			t.Errorf("of %d days %s, %s is right", keep, got, want)
+		}
+	}
+}
