One way to start the program as a process; one rig for both measurements

Need: three places started a node's process, waited for it and ended it, the two measurements built the same stand-ins, and the daemon's tests the same loops.

--- a/internal/daemon/kill_test.go
+++ b/internal/daemon/kill_test.go
@@ -45,14 +45,8 @@
 // A node is killed with calls standing. Its next life says which were cut, and releases them at the server before it
 // takes new ones; the list is there at once though its source is gone.
 func TestKillAndRestart(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
 	nodeAt := freePort(t)
-	run := func(l *Loop) {
-		done := make(chan struct{})
-		go func() { defer close(done); l.Run(ctx) }()
-		t.Cleanup(func() { cancel(); <-done })
-	}
+	run := loops(t)
 	srv, srvAt, err := NewLoopback()
 	if err != nil {
 		t.Fatal(err)
@@ -84,9 +78,7 @@
 	}
 	life := func(name string) (*exec.Cmd, *lockedBuffer) {
 		log := &lockedBuffer{}
-		cmd := exec.Command(os.Args[0])
-		cmd.Env = append(os.Environ(), "LARKROUTER_TEST_SERVE="+path)
-		cmd.Stderr = log
+		cmd := spawn(t, path, log)
 		if err := cmd.Start(); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -62,6 +62,15 @@
 	return l, err
 }
 
+// FreeAddress is one on loopback that nobody listens on now, by UDP and TCP.
+func FreeAddress() (netip.AddrPort, error) {
+	l, at, err := NewLoopback()
+	if err == nil {
+		l.stack.Close()
+	}
+	return at, err
+}
+
 // NewLoopback opens a loop at a port of 127.0.0.1 that is free for both transports.
 func NewLoopback() (*Loop, netip.AddrPort, error) {
 	var err error
--- a/internal/daemon/manager_test.go
+++ b/internal/daemon/manager_test.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -64,11 +63,9 @@
 	}
 	// A call that is there before the process is: it waits in the socket and is not refused.
 	v.loop.Call(func(time.Duration) { v.callers.Dial(0) })
-	v.cmd = exec.Command(os.Args[0])
+	v.cmd = spawn(t, v.path, v.log, "NOTIFY_SOCKET="+at, "WATCHDOG_USEC=300000", takeoverEnv+"=1", "LISTEN_FDS=2",
+		"LISTEN_FDNAMES=sip:sip") // the process sets its own number, as a manager would
 	v.cmd.ExtraFiles = []*os.File{uf, tf}
-	v.cmd.Env = append(os.Environ(), "LARKROUTER_TEST_SERVE="+v.path, "NOTIFY_SOCKET="+at, "WATCHDOG_USEC=300000",
-		takeoverEnv+"=1", "LISTEN_FDS=2", "LISTEN_FDNAMES=sip:sip") // the process sets its own number, as a manager would
-	v.cmd.Stderr = v.log
 	if err := v.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -34,12 +34,7 @@
 
 func newLive(t *testing.T, extra string, hold time.Duration) *live {
 	t.Helper()
-	ctx, cancel := context.WithCancel(t.Context())
-	run := func(l *Loop) {
-		done := make(chan struct{})
-		go func() { defer close(done); l.Run(ctx) }()
-		t.Cleanup(func() { cancel(); <-done })
-	}
+	run := loops(t)
 	v := &live{t: t, dir: t.TempDir(), at: freePort(t), log: &lockedBuffer{}}
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -96,9 +91,7 @@
 
 func (v *live) start() {
 	v.t.Helper()
-	v.cmd = exec.Command(os.Args[0])
-	v.cmd.Env = append(os.Environ(), "LARKROUTER_TEST_SERVE="+v.path)
-	v.cmd.Stderr = v.log
+	v.cmd = spawn(v.t, v.path, v.log)
 	if err := v.cmd.Start(); err != nil {
 		v.t.Fatal(err)
 	}
--- a/internal/daemon/serve_test.go
+++ b/internal/daemon/serve_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/netip"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -38,14 +39,32 @@
 // freePort finds a port that both transports have.
 func freePort(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, at, err := NewLoopback()
+	at, err := FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.stack.Close()
 	return at
 }
 
+// loops runs loops until the test ends.
+func loops(t *testing.T) func(*Loop) {
+	ctx, cancel := context.WithCancel(t.Context())
+	return func(l *Loop) {
+		done := make(chan struct{})
+		go func() { defer close(done); l.Run(ctx) }()
+		t.Cleanup(func() { cancel(); <-done })
+	}
+}
+
+// spawn starts the test's own binary as a node.
+func spawn(t *testing.T, path string, log *lockedBuffer, env ...string) *exec.Cmd {
+	t.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(append(os.Environ(), "LARKROUTER_TEST_SERVE="+path), env...)
+	cmd.Stderr = log
+	return cmd
+}
+
 // served is a node served as the program does it, with a call server and callers.
 type served struct {
 	server  *standin.CallServer
@@ -61,11 +80,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
-	run := func(l *Loop) {
-		done := make(chan struct{})
-		go func() { defer close(done); l.Run(ctx) }()
-		t.Cleanup(func() { cancel(); <-done })
-	}
+	run := loops(t)
 	open := func() (*Loop, netip.AddrPort) {
 		l, at, err := NewLoopback()
 		if err != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"larkrouter"
 	"larkrouter/internal/baseline"
 	"larkrouter/internal/ceiling"
+	"larkrouter/internal/daemon"
 	"larkrouter/internal/day"
 	"larkrouter/internal/demo"
 	"larkrouter/internal/emulator"
@@ -348,7 +349,7 @@
 
 func (f *Fleet) nodeAddress(i int) (netip.AddrPort, error) {
 	if f.procs != nil {
-		return freeAddress()
+		return daemon.FreeAddress()
 	}
 	return f.stage.Address(f.nodeName(i))
 }
@@ -356,7 +357,7 @@
 func (f *Fleet) killNode(i int) {
 	f.down[i] = true
 	if f.procs != nil {
-		f.procs.kill(i)
+		f.procs.nodes[i].Kill()
 		f.rec.Add(rules.Record{Time: f.stage.Now(), Kind: "killed", Self: f.nodeAt[i].String()})
 		return
 	}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -6,31 +6,26 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
 
 	"larkrouter/internal/actor"
-	"larkrouter/internal/daemon"
 	"larkrouter/internal/demo"
 	"larkrouter/internal/pool"
 	"larkrouter/internal/rules"
 	"larkrouter/internal/sip"
+	"larkrouter/internal/spawn"
 )
 
 // processes are nodes that run as the program itself does: each a process with a configuration, a store and signals.
 type processes struct {
 	program string
 	dir     string
-	mu      sync.Mutex
-	cmds    []*exec.Cmd
-	ended   []chan struct{}
+	nodes   []*spawn.Node // by node, the last life of each; nil: none yet
 }
 
 // mostProcesses bounds a fleet of processes: each has its sockets, its store and its threads.
@@ -66,7 +61,7 @@
 	f.stage = stage
 	f.figures = f.rules(400*time.Millisecond, 150*time.Millisecond)
 	n := f.day.Nodes
-	f.procs = &processes{program: program, dir: dir, cmds: make([]*exec.Cmd, n), ended: make([]chan struct{}, n)}
+	f.procs = &processes{program: program, dir: dir, nodes: make([]*spawn.Node, n)}
 	if err := f.set(); err != nil {
 		return nil, nil, err
 	}
@@ -77,29 +72,6 @@
 	return f, stage, nil
 }
 
-// freeAddress is one that nobody listens on now, by UDP and TCP.
-func freeAddress() (netip.AddrPort, error) {
-	l, at, err := daemon.NewLoopback()
-	if err != nil {
-		return at, err
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	l.Actor = idle{}
-	l.Run(ctx) // it closes its sockets at once
-	return at, nil
-}
-
-// idle is an actor that does nothing.
-type idle struct{}
-
-func (idle) Start(time.Duration)                 {}
-func (idle) Receive(time.Duration, sip.Packet)   {}
-func (idle) Lost(time.Duration, sip.Peer, error) {}
-func (idle) Advance(time.Duration)               {}
-func (idle) Next() (time.Duration, bool)         { return 0, false }
-func (idle) Take(func(actor.Effect))             {}
-
 // configure writes a node's configuration.
 func (f *Fleet) configure(i int) (string, error) {
 	cfg := f.nodeConfig(i)
@@ -148,64 +120,31 @@
 	if err != nil {
 		return err
 	}
-	p := f.procs
-	name := filepath.Join(p.dir, f.nodeName(i)+".log")
-	log, err := os.OpenFile(name, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	p, err := spawn.Start(f.procs.program, path)
 	if err != nil {
 		return err
 	}
-	defer log.Close() // the process has its own
-	cmd := exec.Command(p.program, "serve", "-c", path)
-	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
-		return fmt.Errorf("fleet: %s serve: %w", p.program, err)
-	}
-	ended := make(chan struct{})
-	p.mu.Lock()
-	p.cmds[i], p.ended[i] = cmd, ended
-	p.mu.Unlock()
-	go func() { defer close(ended); _ = cmd.Wait() }() // how it ended is for whoever ended it
-	for range 500 {
+	f.procs.nodes[i] = p
+	return p.Await(20*time.Millisecond, func() bool {
 		c, err := net.DialTimeout("tcp", f.nodeAt[i].String(), time.Second)
-		if err == nil {
-			return c.Close()
-		}
-		select {
-		case <-ended:
-			return fmt.Errorf("fleet: %s ended at once; its log is %s", f.nodeName(i), name)
-		case <-time.After(20 * time.Millisecond):
-		}
-	}
-	return fmt.Errorf("fleet: %s does not listen on %s after 10 s", f.nodeName(i), f.nodeAt[i])
-}
-
-func (p *processes) signal(i int, s syscall.Signal) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmds[i] != nil {
-		_ = p.cmds[i].Process.Signal(s) // one that has ended needs none
-	}
-}
-
-// kill ends a process without a word, and waits for that.
-func (p *processes) kill(i int) {
-	p.signal(i, syscall.SIGKILL) // one that is stopped ends as well
-	if p.ended[i] != nil {
-		<-p.ended[i]
-	}
+		return err == nil && c.Close() == nil
+	})
 }
 
 // EndProcesses kills the nodes that still run, and waits for that. Whoever made a fleet of processes calls it.
 func (f *Fleet) EndProcesses() {
-	for i := range f.procs.cmds {
-		f.procs.kill(i)
+	for _, n := range f.procs.nodes {
+		if n != nil {
+			n.Kill()
+		}
 	}
 }
 
 // stall lets a process stand still for a while.
 func (p *processes) stall(i int, d time.Duration) {
-	p.signal(i, syscall.SIGSTOP)
-	time.AfterFunc(d, func() { p.signal(i, syscall.SIGCONT) })
+	n := p.nodes[i]
+	n.Signal(syscall.SIGSTOP)
+	time.AfterFunc(d, func() { n.Signal(syscall.SIGCONT) })
 }
 
 // told is what a list server's NOTIFY tells a node, as a capture has it.
--- a/internal/fleet/process_test.go
+++ b/internal/fleet/process_test.go
@@ -46,7 +46,7 @@
 		t.Fatal(err)
 	}
 	rep := f.Play(ctx)
-	for i := range f.procs.cmds {
+	for i := range f.procs.nodes {
 		b, err := os.ReadFile(filepath.Join(dir, f.nodeName(i)+".log"))
 		if err != nil || strings.Contains(string(b), "panic") {
 			t.Errorf("%v: %s", err, b)
@@ -59,8 +59,8 @@
 	if rep.Rules[0].Checks < 300 || rep.Rules[2].Checks < 200 || f.Served() < 0.5 {
 		t.Errorf("%d and %d checks, served %.3f", rep.Rules[0].Checks, rep.Rules[2].Checks, f.Served())
 	}
-	for i, c := range f.procs.cmds {
-		if err := syscall.Kill(c.Process.Pid, 0); err == nil {
+	for i, p := range f.procs.nodes {
+		if err := syscall.Kill(p.Pid(), 0); err == nil {
 			t.Errorf("node %d outlived the day", i)
 		}
 	}
--- a/internal/fleet/script.go
+++ b/internal/fleet/script.go
@@ -66,14 +66,14 @@
 			begin, name := turn(k), f.nodeName(i)
 			at(begin, func() {
 				if f.procs != nil {
-					f.procs.signal(i, syscall.SIGTERM)
+					f.procs.nodes[i].Signal(syscall.SIGTERM)
 					return
 				}
 				f.stage.Do(name, f.Nodes[i].Drain)
 			})
 			at(begin+d(t.Wait), func() {
 				if f.procs != nil { // the second one: what is left is released
-					f.procs.signal(i, syscall.SIGTERM)
+					f.procs.nodes[i].Signal(syscall.SIGTERM)
 					return
 				}
 				f.stage.Do(name, f.Nodes[i].Release)
@@ -207,7 +207,7 @@
 	if f.procs != nil {
 		_, err := f.configure(i)
 		f.try(err)
-		f.procs.signal(i, syscall.SIGHUP)
+		f.procs.nodes[i].Signal(syscall.SIGHUP)
 		return
 	}
 	cfg, n := f.nodeConfig(i), f.Nodes[i]
--- a/internal/measure/fresh.go
+++ b/internal/measure/fresh.go
@@ -4,10 +4,7 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
-	"os/exec"
 	"path/filepath"
-	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -38,87 +35,38 @@
 // place calls one after another, all at once; two seconds later the same again, and then fifty at once.
 func RunFresh(ctx context.Context, program string, callers, calls int) (Fresh, error) {
 	f := Fresh{Program: program, BurstCalls: calls}
-	ctx, cancel := context.WithCancel(ctx)
-	var ends []chan struct{}
-	defer func() {
-		cancel()
-		for _, e := range ends {
-			<-e
-		}
-	}()
-	run := func(l *daemon.Loop) {
-		end := make(chan struct{})
-		ends = append(ends, end)
-		go func() { defer close(end); l.Run(ctx) }()
-	}
-	srv, srvAt, err := daemon.NewLoopback()
+	g := newRig(ctx)
+	defer g.end()
+	srv, srvAt, err := g.open()
 	if err != nil {
 		return f, err
 	}
 	srv.Actor = standin.NewServer(standin.ServerConfig{Seed: 1, Address: srvAt})
-	run(srv)
-	spare, nodeAt, err := daemon.NewLoopback()
-	if err != nil {
-		return f, err
-	}
-	spare.Stack().Close()
-	dir, err := os.MkdirTemp("", "larkrouter-fresh")
+	g.run(srv)
+	nodeAt, err := daemon.FreeAddress()
 	if err != nil {
 		return f, err
 	}
-	defer os.RemoveAll(dir)
-	file := filepath.Join(dir, "node.toml")
 	text := fmt.Sprintf("[listen]\nudp = %q\n[[class]]\nname = \"voice\"\naim = \"1s\"\ndeadline = \"9s\"\nworth = 1.0\n"+
 		"[[server]]\nid = 1\nnumber = 0\naddress = %q\n", nodeAt, srvAt)
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		return f, err
-	}
-	logFile, err := os.Create(filepath.Join(dir, "log"))
-	if err != nil {
-		return f, err
-	}
-	defer logFile.Close()
-	cmd := exec.CommandContext(ctx, program, "serve", "-c", file)
-	cmd.Stderr = logFile
 	began := time.Now()
-	if err := cmd.Start(); err != nil {
-		return f, fmt.Errorf("starting %s: %w", program, err)
-	}
-	defer func() { _ = cmd.Process.Kill(); _ = cmd.Wait() }()
-	for i := 0; ; i++ {
-		b, _ := os.ReadFile(logFile.Name())
-		if strings.Contains(string(b), "serving") {
-			break
-		}
-		if i > 4000 {
-			return f, fmt.Errorf("the node did not start: %s", b)
-		}
-		time.Sleep(2 * time.Millisecond)
+	if _, err := g.node(program, text, 2*time.Millisecond); err != nil {
+		return f, err
 	}
 	f.Start = time.Since(began)
 	burst := func(callers, calls int) (Burst, error) {
-		l, at, err := daemon.NewLoopback()
+		l, at, err := g.open()
 		if err != nil {
 			return Burst{}, err
 		}
 		act := standin.NewLoad(standin.LoadConfig{Seed: uint64(at.Port()), Address: at, To: sip.Peer{Addr: nodeAt}, Callers: callers,
 			Calls: calls})
-		l.Actor = act
-		begin := time.Now()
-		run(l)
-		for {
-			ended := 0
-			l.Call(func(time.Duration) { ended = act.Ended })
-			if ended >= calls {
-				break
-			}
-			if time.Since(begin) > 60*time.Second || ctx.Err() != nil {
-				return Burst{}, fmt.Errorf("%d of %d calls ended in a minute", ended, calls)
-			}
-			time.Sleep(2 * time.Millisecond)
+		took, err := g.load(l, act, calls, time.Minute)
+		if err != nil {
+			return Burst{}, err
 		}
 		b := Burst{Calls: calls, Stood: act.Stood, Refused: act.Failed, Median: quantile(act, 50), P99: quantile(act, 99),
-			Took: time.Since(begin)}
+			Took: took}
 		for _, bar := range act.SetUp.Distribution() {
 			if bar.From > freshAim.Microseconds() {
 				b.Late += int(bar.Count)
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -8,8 +8,6 @@
 	"io"
 	"net/netip"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"syscall"
@@ -52,28 +50,8 @@
 // Run measures, first straight to a server, then through the node.
 func Run(ctx context.Context, o Options) (Result, error) {
 	var r Result
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	clock := daemon.Monotonic()
-	var ends []chan struct{}
-	defer func() {
-		cancel()
-		for _, e := range ends {
-			<-e
-		}
-	}()
-	run := func(l *daemon.Loop) {
-		end := make(chan struct{})
-		ends = append(ends, end)
-		go func() { defer close(end); l.Run(ctx) }()
-	}
-	open := func() (*daemon.Loop, netip.AddrPort, error) {
-		l, at, err := daemon.NewLoopback()
-		if err == nil {
-			l.Clock = clock
-		}
-		return l, at, err
-	}
+	g := newRig(ctx)
+	defer g.end()
 	tr, word := sip.UDP, "udp"
 	if o.TCP {
 		tr, word = sip.TCP, "tcp"
@@ -81,39 +59,26 @@
 	var list strings.Builder
 	var first netip.AddrPort
 	for i := range servers {
-		l, at, err := open()
+		l, at, err := g.open()
 		if err != nil {
 			return r, err
 		}
 		l.Actor = standin.NewServer(standin.ServerConfig{Seed: uint64(i), Address: at})
-		run(l)
+		g.run(l)
 		if i == 0 {
 			first = at
 		}
 		fmt.Fprintf(&list, "[[server]]\nid = %d\nnumber = %d\naddress = %q\ntransport = %q\n", i+1, i, at, word)
 	}
 	load := func(to netip.AddrPort, calls int) (*standin.Load, time.Duration, error) {
-		l, at, err := open()
+		l, at, err := g.open()
 		if err != nil {
 			return nil, 0, err
 		}
 		act := standin.NewLoad(standin.LoadConfig{Seed: uint64(at.Port()), Address: at, To: sip.Peer{Transport: tr, Addr: to}, Rate: o.Rate,
 			Hold: time.Duration(float64(o.Open) / o.Rate * float64(time.Second)), Calls: calls})
-		l.Actor = act
-		begin := time.Now()
-		run(l)
-		limit := time.Duration(float64(calls+o.Open)/o.Rate*float64(time.Second)) + 90*time.Second
-		for {
-			ended := 0
-			l.Call(func(time.Duration) { ended = act.Ended })
-			if ended >= calls || ctx.Err() != nil {
-				return act, time.Since(begin), ctx.Err()
-			}
-			if time.Since(begin) > limit {
-				return act, time.Since(begin), fmt.Errorf("%d of %d calls ended within %v", ended, calls, limit)
-			}
-			time.Sleep(5 * time.Millisecond)
-		}
+		took, err := g.load(l, act, calls, time.Duration(float64(calls+o.Open)/o.Rate*float64(time.Second))+90*time.Second)
+		return act, took, err
 	}
 	direct, _, err := load(first, min(o.Calls, 2000))
 	if err != nil {
@@ -121,78 +86,48 @@
 	}
 	r.DirectMedian, r.DirectP99 = quantile(direct, 50), quantile(direct, 99)
 
-	nodeLoop, nodeAt, err := open()
+	nodeAt, err := daemon.FreeAddress()
 	if err != nil {
 		return r, err
 	}
-	nodeLoop.Stack().Close()
-	dir, err := os.MkdirTemp("", "larkrouter-measure")
-	if err != nil {
-		return r, err
-	}
-	defer os.RemoveAll(dir)
 	var agentAt netip.AddrPort
 	if o.Walk {
-		l, at, err := open()
-		if err != nil {
+		if agentAt, err = daemon.FreeAddress(); err != nil {
 			return r, err
 		}
-		l.Stack().Close()
-		agentAt = at
-		o.Extra += fmt.Sprintf("\n[snmp]\nlisten = %q\n[[snmp.community]]\nname = \"measure\"\n", at)
+		o.Extra += fmt.Sprintf("\n[snmp]\nlisten = %q\n[[snmp.community]]\nname = \"measure\"\n", agentAt)
 	}
-	file := filepath.Join(dir, "node.toml")
 	text := fmt.Sprintf("[listen]\nudp = %q\ntcp = %q\n[log]\nlevel = \"info\"\n[[class]]\nname = \"voice\"\naim = \"1s\"\n"+
 		"deadline = \"9s\"\nworth = 1.0\n%s%s",
 		nodeAt, nodeAt, list.String(), o.Extra)
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		return r, err
-	}
-	args := []string{"serve", "-c", file}
+	var args []string
 	if o.Profile != "" {
 		args = append(args, "--cpu-profile", o.Profile)
 	}
-	cmd := exec.CommandContext(ctx, o.Program, args...)
-	logFile, err := os.Create(filepath.Join(dir, "log"))
+	n, err := g.node(o.Program, text, 5*time.Millisecond, args...)
 	if err != nil {
 		return r, err
 	}
-	defer logFile.Close()
-	cmd.Stderr = logFile
-	if err := cmd.Start(); err != nil {
-		return r, fmt.Errorf("starting %s: %w", o.Program, err)
-	}
-	defer func() { _ = cmd.Process.Kill(); _ = cmd.Wait() }()
-	for i := 0; ; i++ {
-		b, _ := os.ReadFile(logFile.Name())
-		if strings.Contains(string(b), "serving") {
-			break
-		}
-		if i > 2000 {
-			return r, fmt.Errorf("the node did not start: %s", b)
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
 	if _, _, err := load(nodeAt, min(1000, o.Calls)); err != nil { // warm
 		return r, err
 	}
 	walked := func() {}
 	if o.Walk {
-		walked = walker(ctx, agentAt, &r)
+		walked = walker(g.ctx, agentAt, &r)
 	}
-	before, _ := cpu(cmd.Process.Pid)
+	before, _ := cpu(n.Pid())
 	act, took, err := load(nodeAt, o.Calls)
-	after, _ := cpu(cmd.Process.Pid)
+	after, _ := cpu(n.Pid())
 	walked()
 	if err != nil {
 		return r, fmt.Errorf("through the node: %w", err)
 	}
-	r.Resident = resident(cmd.Process.Pid)
+	r.Resident = resident(n.Pid())
 	r.Stood, r.Failed = act.Stood, act.Failed
 	r.PerSecond = float64(o.Calls) / took.Seconds()
 	r.CPU = (after - before) / time.Duration(o.Calls)
 	r.Median, r.P99 = quantile(act, 50), quantile(act, 99)
-	_ = cmd.Process.Signal(syscall.SIGTERM)
+	n.Signal(syscall.SIGTERM)
 	time.Sleep(500 * time.Millisecond) // for the profile
 	return r, nil
 }
