--- a/internal/sip/transaction/client.go
+++ b/internal/sip/transaction/client.go
@@ -150,37 +150,25 @@
 }
 
 // ackFor makes the ACK to a final response other than 2xx (section 17.1.1.3).
-func ackFor(req, resp *sip.Message) *sip.Message {
-	n, _, _ := req.CSeq()
-	a := &sip.Message{Method: sip.ACK, URI: req.URI, Fields: make([]sip.Field, 0, 8)}
-	a.Add("Via", req.Get("Via"))
-	for _, f := range req.Fields {
-		if f.Name == "Route" {
-			a.Fields = append(a.Fields, f)
-		}
-	}
-	a.Add("Max-Forwards", "70")
-	a.Add("From", req.Get("From"))
-	a.Add("To", resp.Get("To"))
-	a.Add("Call-ID", req.Get("Call-ID"))
-	a.Add("CSeq", itoa(int(n))+" ACK")
-	return a
-}
+func ackFor(req, resp *sip.Message) *sip.Message { return after(req, sip.ACK, resp.Get("To")) }
 
 // CancelFor makes the CANCEL of an INVITE that has been sent (section 9.1).
-func CancelFor(req *sip.Message) *sip.Message {
+func CancelFor(req *sip.Message) *sip.Message { return after(req, sip.CANCEL, req.Get("To")) }
+
+// after makes a request that follows an INVITE hop by hop, on its way and with its branch.
+func after(req *sip.Message, method, to string) *sip.Message {
 	n, _, _ := req.CSeq()
-	c := &sip.Message{Method: sip.CANCEL, URI: req.URI, Fields: make([]sip.Field, 0, 8)}
-	c.Add("Via", req.Get("Via"))
+	m := &sip.Message{Method: method, URI: req.URI, Fields: make([]sip.Field, 0, 8)}
+	m.Add("Via", req.Get("Via"))
 	for _, f := range req.Fields {
 		if f.Name == "Route" {
-			c.Fields = append(c.Fields, f)
+			m.Fields = append(m.Fields, f)
 		}
 	}
-	c.Add("Max-Forwards", "70")
-	for _, name := range [...]string{"From", "To", "Call-ID"} {
-		c.Add(name, req.Get(name))
-	}
-	c.Add("CSeq", itoa(int(n))+" CANCEL")
-	return c
+	m.Add("Max-Forwards", "70")
+	m.Add("From", req.Get("From"))
+	m.Add("To", to)
+	m.Add("Call-ID", req.Get("Call-ID"))
+	m.Add("CSeq", itoa(int(n))+" "+method)
+	return m
 }
