--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -2,7 +2,7 @@
 // server, and when it takes new calls again. It has no I/O and no clock.
 //
 // Each release is work for a server, all nodes may have been killed together, and none knows of the others. So releases
-// are clocked by their answers: a few go out, more with each that is answered quickly, and one at a time, with rests in
+// are clocked by their answers: one goes out, more with each that is answered quickly, and one at a time, with rests in
 // proportion to its answer's time, once answers are slow. New calls wait until all are answered, for the calls that stood
 // still hold what new ones need; but not for longer than Wait: then they go first, and releases go on beside them.
 package release
@@ -11,11 +11,11 @@
 
 // Settings of the pace. Zero values stand for the defaults.
 type Settings struct {
-	First    int           // releases out at once to begin with; 2
+	First    int           // releases out at once to begin with; 1
 	Most     int           // and ever; 64
 	Quick    time.Duration // an answer within this lets one more be out; 60 ms
-	Rest     float64       // after a slow answer nothing more goes out for so many times its time; 8
-	RestMost time.Duration // 2 s at the most
+	Rest     float64       // after a slow answer nothing more goes out for so many times its time; 30
+	RestMost time.Duration // 4 s at the most
 	Lost     time.Duration // with no answer for so long, one more goes out; 1 s
 	Wait     time.Duration // new calls wait so long at the most; 300 ms
 }
@@ -39,16 +39,16 @@
 		}
 	}
 	if set.First <= 0 {
-		set.First = 2
+		set.First = 1
 	}
 	if set.Most <= 0 {
 		set.Most = 64
 	}
 	if set.Rest <= 0 {
-		set.Rest = 8
+		set.Rest = 30
 	}
 	def(&set.Quick, 60*time.Millisecond)
-	def(&set.RestMost, 2*time.Second)
+	def(&set.RestMost, 4*time.Second)
 	def(&set.Lost, time.Second)
 	def(&set.Wait, 300*time.Millisecond)
 	return &Pace{set: set, left: calls, window: set.First, next: now, heard: now, until: now + set.Wait}
