--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -113,7 +113,7 @@
 	conns   map[access.Conn]*socket
 	dials   map[access.Conn]bool // under way; false: no longer wanted
 	dirty   []*socket
-	most    int64 // descriptors for connections, in all
+	most    int64        // descriptors for connections, in all
 	cursor  *feed.Cursor // of the command channel's goroutine
 	told    uint64       // number of the last event that brought a list
 	channel string
