Dead servers that leave connections open; releases that nobody read; who counts as a caller

Change: refusals count as death where nothing is heard on the open connections either; only a call that stood or was adopted proves a caller's connection; releases written in the last second before a connection ends go out on another too, until the caller's 200 is in.

--- a/internal/edge/access/callers.go
+++ b/internal/edge/access/callers.go
@@ -18,6 +18,8 @@
 	idleFor     = 8 * time.Second         // one with nothing open on it
 	partFor     = 2 * time.Second         // one on which a message has begun and does not end
 	openPerConn = 256                     // set-ups open on one
+	byesMost    = 500
+	byeUnread   = time.Second // a release written to one that ends within this is sent on another too
 )
 
 // caller is a connection from callers.
@@ -27,8 +29,8 @@
 	used   time.Duration
 	part   time.Duration // since when a message has begun that is not whole; 0: none
 	open   int           // set-ups owed an answer
-	proven bool          // a call that came on it stood, or a test passed
-	closed bool
+	proven bool          // a call that came on it stood: it is a caller's, and not somebody's who only asks
+	byes   []release     // written to it lately: should it end, nobody may have read them
 }
 
 // call is a set-up owed an answer, or one that stands.
@@ -54,8 +56,9 @@
 	setUp    *codec.SetUp
 }
 
-// release is one that a caller is owed.
+// release is one that a caller is owed, or was sent.
 type release struct {
+	id    uint64
 	bytes []byte
 	since time.Duration
 }
@@ -93,7 +96,6 @@
 
 func (n *Node) closeCaller(c *caller) {
 	n.Totals.CallersClosed++
-	c.closed = true
 	delete(n.callers, c.conn)
 	n.effects = append(n.effects, Effect{Kind: Close, Conn: c.conn})
 }
@@ -106,7 +108,11 @@
 		return
 	}
 	delete(n.callers, conn)
-	c.closed = true
+	for _, r := range c.byes { // it may have ended before they were read
+		if n.now-r.since < byeUnread {
+			n.sayBye(r, nil)
+		}
+	}
 	if c.open == 0 {
 		return
 	}
@@ -164,11 +170,10 @@
 	id, err := codec.ID(m.Get("Call-ID"))
 	switch {
 	case !m.IsRequest():
+		c.byes = slices.DeleteFunc(c.byes, func(r release) bool { return r.id == id })
 	case m.Method == sip.ACK:
 	case m.Method == sip.OPTIONS:
-		c.proven = true
 		n.write(conn, codec.Answer(m, 200, 0, nil))
-		n.farewells(c)
 	case m.Method == sip.INVITE:
 		n.invite(c, arrived, m)
 	case err != nil:
@@ -235,7 +240,6 @@
 		n.write(c.conn, codec.Answer(m, status, n.cfg.Figures.LongestWait, nil))
 		return
 	}
-	n.farewells(c)
 	n.Totals.Calls++
 	n.lastNum++
 	k := &call{number: n.lastNum, id: s.ID, text: m.Get("Call-ID"), called: s.Number, class: class, conn: c.conn, req: m,
@@ -297,7 +301,8 @@
 	n.open--
 	if c := n.callers[k.conn]; c != nil {
 		c.open--
-		c.proven, c.used = true, n.now
+		c.used = n.now
+		n.prove(c)
 	}
 	n.heap.Stop(&k.timer)
 	k.stands, k.since, k.req, k.setUp = true, n.now, nil, nil
@@ -324,11 +329,14 @@
 	n.ended.add(k.id, endedCall{when: n.now})
 }
 
-// farewell tells a caller that its call is over: on the connection it came on, else on one known to be good.
+// farewell tells a caller that its call is over: on the connection it came on, else on one known to be a caller's.
 func (n *Node) farewell(k *call, cause int) {
 	n.Totals.Farewells++
-	b := codec.Release(k.text, k.called, cause)
-	to := n.callers[k.conn]
+	n.sayBye(release{id: k.id, bytes: codec.Release(k.text, k.called, cause)}, n.callers[k.conn])
+}
+
+// sayBye sends a release on a connection, else on the one that was last of use to a caller; with none, on the next.
+func (n *Node) sayBye(r release, to *caller) {
 	if to == nil {
 		for _, c := range n.callers {
 			if c.proven && (to == nil || c.used > to.used || c.used == to.used && c.conn > to.conn) {
@@ -337,20 +345,27 @@
 		}
 	}
 	if to == nil {
-		if len(n.farewel) < endedMost {
-			n.farewel = append(n.farewel, release{b, n.now})
+		if len(n.owed) < endedMost {
+			n.owed = append(n.owed, r)
 		}
 		return
 	}
-	n.write(to.conn, b)
+	r.since = n.now
+	if len(to.byes) > 0 && n.now-to.byes[0].since >= byeUnread || len(to.byes) >= byesMost {
+		to.byes = slices.Clone(to.byes[1:])
+	}
+	to.byes = append(to.byes, r)
+	n.write(to.conn, r.bytes)
 }
 
-// farewells sends what is owed on a connection that has shown to be a caller's.
-func (n *Node) farewells(c *caller) {
-	for _, r := range n.farewel {
-		n.write(c.conn, r.bytes)
+// prove marks a connection as a caller's, and sends what callers are owed.
+func (n *Node) prove(c *caller) {
+	c.proven = true
+	owed := n.owed
+	n.owed = nil
+	for _, r := range owed {
+		n.sayBye(r, c)
 	}
-	n.farewel = nil
 }
 
 // adopt takes a call that stands at a call server already, as the caller says. It wants no answer.
@@ -375,6 +390,7 @@
 		return
 	}
 	n.Totals.Adopted++
+	n.prove(c)
 	k.server = srv
 	n.calls[k.id], n.numbers[k.number] = k, k
 	srv.standing[k] = struct{}{}
--- a/internal/edge/access/node.go
+++ b/internal/edge/access/node.go
@@ -76,7 +76,7 @@
 	open    int
 	ended   endedCalls
 	callers map[Conn]*caller
-	farewel []release // owed to callers, while there is no connection to say so on
+	owed    []release // to callers, while there is no connection to say so on
 	servers map[string]*server
 	byNum   map[uint32]*server
 	order   []*server
--- a/internal/edge/access/servers.go
+++ b/internal/edge/access/servers.go
@@ -176,7 +176,7 @@
 		n.dead(s, cause)
 	}
 	if s.reach.Mute(n.now) && slices.ContainsFunc(s.lines, func(l *line) bool { return l.up }) {
-		n.leave(s, "silent, and connections never come up")
+		n.leave(s, "silent, and new connections do not come up")
 	}
 	want := n.cfg.Lines
 	if s.phase == larkrouter.Gone {
@@ -283,6 +283,7 @@
 	}
 	s := l.srv
 	n.lost(l)
+	n.note(Note{Event: "connection to a call server did not come up", Server: s.id, Cause: map[bool]string{true: "refused", false: "no answer"}[refused]})
 	s.reach.Failed(n.now, refused)
 	if !refused || slices.ContainsFunc(s.lines, func(l *line) bool { return l.up }) {
 		return // each that waits has its own time
@@ -293,9 +294,10 @@
 }
 
 // TrunkClosed tells that a connection to a call server has ended.
-func (n *Node) TrunkClosed(now time.Duration, c Conn) {
+func (n *Node) TrunkClosed(now time.Duration, c Conn, cause string) {
 	n.clock(now)
 	if l := n.lines[c]; l != nil {
+		n.note(Note{Event: "connection to a call server ended", Server: l.srv.id, Cause: cause, Count: len(l.out)})
 		n.lost(l)
 		n.tendServer(l.srv)
 	}
--- a/internal/edge/reach/reach.go
+++ b/internal/edge/reach/reach.go
@@ -2,7 +2,8 @@
 // it is opened, and when the calls that stand there must be over. It has no I/O, no clock and no randomness.
 //
 // One reset connection proves nothing: connections are reset while the server goes on. What proves that a process has
-// died is that its port refuses a connection while no other is open. What a machine leaves behind that has vanished is
+// ended is that its port goes on refusing connections while no other is open, or nothing is heard on those that are: a
+// server that was drained and has stopped leaves them open. What a machine leaves behind that has vanished is
 // silence: nothing on any connection, and new ones that never come up; the same is seen while the way there is cut, and
 // then calls go on, so that it takes Unreachable until they are given up.
 package reach
@@ -42,7 +43,6 @@
 	refused  time.Duration // when the refusals began that go on
 	refusing bool
 	silent   bool // the last failure was a try that never came up
-	wasOpen  bool // some connection was up once
 }
 
 // New begins with a server that was not tried yet.
@@ -54,7 +54,7 @@
 // Open tells that a connection came up.
 func (s *State) Open(now time.Duration) {
 	s.open++
-	s.failures, s.refusing, s.silent, s.heard, s.next, s.wasOpen = 0, false, false, now, now, true
+	s.failures, s.refusing, s.silent, s.heard, s.next = 0, false, false, now, now
 }
 
 // Heard tells that bytes came.
@@ -84,15 +84,15 @@
 	return s.open > 0 && now-s.heard >= s.set.Quiet && now >= s.next
 }
 
-// Mute says whether the open connections lead nowhere: nothing is heard on them and two tries never came up.
+// Mute says whether the open connections lead nowhere: nothing is heard on them and two tries did not come up.
 func (s *State) Mute(now time.Duration) bool {
-	return s.silent && s.failures >= 2 && now-s.heard >= s.set.Quiet
+	return s.failures >= 2 && now-s.heard >= s.set.Quiet
 }
 
 // Dead says whether calls that stand there are over, and why.
 func (s *State) Dead(now time.Duration) (string, bool) {
 	switch {
-	case s.refusing && s.failures >= 2 && s.open == 0 && now-s.refused >= s.set.Refused:
+	case s.refusing && s.failures >= 2 && (s.open == 0 || s.Mute(now)) && now-s.refused >= s.set.Refused:
 		return "refuses connections", true
 	case s.silent && s.failures >= 2 && now-s.heard >= s.set.Unreachable:
 		return "silent, connections never come up", true
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -353,7 +353,7 @@
 				sh.node.TrunkFault(now, s.id, ev.fault)
 			}
 			if ev.lost != nil {
-				sh.node.TrunkClosed(now, s.id)
+				sh.node.TrunkClosed(now, s.id, ev.lost.Error())
 			}
 		} else {
 			for _, m := range ev.calls {
@@ -465,7 +465,7 @@
 	delete(sh.conns, s.id)
 	s.shut(true)
 	if s.trunk {
-		sh.node.TrunkClosed(sh.clock(), s.id)
+		sh.node.TrunkClosed(sh.clock(), s.id, "it can't be written to")
 	} else {
 		sh.node.CallerClosed(sh.clock(), s.id)
 	}
