--- a/controller.go
+++ b/controller.go
@@ -67,6 +67,7 @@
 	// of set-ups lost, at any server, from which one unanswered where others are answered fast is lost too
 	lossyPart    = 0.04
 	lossGain     = 0.08 // of each set-up in that part
+	lossOnce     = 2e-5 // the part that one lost leaves after a hundred answers
 	failsToShut  = 12   // in a row: where each set-up fails by chance, fewer are common
 	firstClosed  = 250 * time.Millisecond
 	longestClose = 2 * time.Second
@@ -787,6 +788,8 @@
 	case TimedOut, Reset, Cancelled: // its circuits may stay taken until the guard has passed
 		k.after = c.now + k.set.ReleaseGuard
 		c.hold(k, int(k.set.ReleaseGuard/c.t0)+1)
+	case Completed: // it stood and has ended, and its answer was late or lost: a second one is not to stand
+		c.finish(k)
 	case Failed: // by chance perhaps, and then soon no more: tries spread over the aim
 		c.hold(k, firstOffset)
 	default:
@@ -866,6 +869,7 @@
 	for n := 0; c.now >= c.slotAt+c.t0 && n < answerSlots; n++ {
 		c.slotAt, c.slot = c.slotAt+c.t0, c.slot+1
 		c.survey()
+		c.mourn()
 		for _, s := range c.servers {
 			c.turn(s)
 		}
@@ -1000,6 +1004,17 @@
 	s.ring.shift(max(0, (min(s.rate, s.lambda+rate+c.step(s))-s.lambda)*t0))
 }
 
+// mourn guards against cuts for a set-up that is lost and does not wait: one was lost lately, and its server
+// has answered fast within an aim, as hardly one with so long a line does. A line that grows in that time
+// hides for as long as what is answered comes fast.
+func (c *Controller) mourn() {
+	for _, s := range c.servers {
+		if c.loss > lossOnce && s.latency <= c.holdAim.Seconds() && c.awake()-s.answered < c.aim {
+			s.pass(c.awake() - c.holdAim + 1)
+		}
+	}
+}
+
 // rescue calls off what was lost on its way, if a server may still set it up within its aim.
 func (c *Controller) rescue() {
 	for _, s := range c.servers {
--- a/internal/edge/access/callers.go
+++ b/internal/edge/access/callers.go
@@ -19,6 +19,7 @@
 	partFor     = 2 * time.Second         // one on which a message has begun and does not end
 	openPerConn = 256                     // set-ups open on one
 	byesMost    = 500
+	owedFor     = 30 * time.Second
 	byeUnread   = time.Second // a release written to one that ends within this is sent on another too
 )
 
@@ -47,7 +48,6 @@
 	timer    timers.Timer
 	attempts int
 	out      *attempt
-	lastLine Conn // of its last attempt
 	stands   bool
 	since    time.Duration // it stands
 	server   *server
@@ -345,7 +345,7 @@
 		}
 	}
 	if to == nil {
-		if len(n.owed) < endedMost {
+		if r.since = n.now; len(n.owed) < endedMost {
 			n.owed = append(n.owed, r)
 		}
 		return
@@ -405,6 +405,9 @@
 }
 
 func (n *Node) tendCallers() {
+	if len(n.owed) > 0 && n.now-n.owed[0].since > owedFor { // nobody has come to whom it could be said
+		n.owed = slices.Clone(n.owed[1:])
+	}
 	var gone []*caller
 	for _, c := range n.callers {
 		switch idle := n.now - c.used; {
--- a/internal/edge/access/servers.go
+++ b/internal/edge/access/servers.go
@@ -119,11 +119,16 @@
 	}
 	n.tell(news)
 	for _, s := range slices.Clone(n.order) {
+		if s.phase != larkrouter.Ready { // what waits for a connection there does not go out any more
+			for _, at := range slices.Clone(s.queue) {
+				n.over(at, larkrouter.AttemptOver{Outcome: larkrouter.NotSent})
+			}
+		}
 		n.tendServer(s)
 	}
 }
 
-// phase takes what the list says of a server. Set-ups that wait for a connection there do not go out any more.
+// phase takes what the list says of a server.
 func (n *Node) phase(s *server, p larkrouter.Phase) {
 	if p == s.phase {
 		return
@@ -133,9 +138,6 @@
 		return
 	}
 	s.told = n.now
-	for _, at := range slices.Clone(s.queue) {
-		n.over(at, larkrouter.AttemptOver{Outcome: larkrouter.NotSent})
-	}
 }
 
 var phaseNames = map[larkrouter.Phase]string{larkrouter.Draining: "drains", larkrouter.Ready: "is up", larkrouter.Gone: "is gone"}
@@ -172,10 +174,11 @@
 			}
 		}
 	}
-	if cause, dead := s.reach.Dead(n.now); dead && len(s.standing) > 0 {
+	if cause, dead := s.reach.Dead(n.now, s.phase == larkrouter.Gone); dead && len(s.standing) > 0 {
 		n.dead(s, cause)
 	}
 	if s.reach.Mute(n.now) && slices.ContainsFunc(s.lines, func(l *line) bool { return l.up }) {
+		s.reach.Leave()
 		n.leave(s, "silent, and new connections do not come up")
 	}
 	want := n.cfg.Lines
@@ -263,6 +266,14 @@
 	l.up = true
 	s := l.srv
 	s.reach.Open(n.now)
+	if len(s.lines) > n.cfg.Lines { // it was a check: the oldest that carries nothing has done its service
+		for _, o := range s.lines {
+			if o.up && o != l && len(o.out) == 0 {
+				n.drop(o)
+				break
+			}
+		}
+	}
 	for _, id := range s.owed {
 		n.write(l.conn, bare(trunk.Release, id, trunk.CauseNormal))
 	}
@@ -283,7 +294,8 @@
 	}
 	s := l.srv
 	n.lost(l)
-	n.note(Note{Event: "connection to a call server did not come up", Server: s.id, Cause: map[bool]string{true: "refused", false: "no answer"}[refused]})
+	cause := map[bool]string{true: "refused", false: "no answer"}[refused]
+	n.note(Note{Event: "connection to a call server did not come up", Server: s.id, Cause: cause})
 	s.reach.Failed(n.now, refused)
 	if !refused || slices.ContainsFunc(s.lines, func(l *line) bool { return l.up }) {
 		return // each that waits has its own time
@@ -381,16 +393,17 @@
 			ev.Outcome = larkrouter.Failed
 		case trunk.CauseNotSent:
 			ev.Outcome = larkrouter.NotSent
+		case trunk.CauseNormal: // it stood and has come to its end; its answer is still on its way, and of no use
+			ev.Outcome = larkrouter.Completed
+			l.given[m.Call] = struct{}{}
 		}
 		n.over(at, ev)
 		return
 	}
-	if _, late := l.given[m.Call]; late { // of a set-up given up here, whatever became of the call
+	if _, late := l.given[m.Call]; late && refusal(cause) { // of a set-up given up here, whatever became of the call
 		delete(l.given, m.Call)
-		if k := n.calls[m.Call]; k == nil || k.line != l.conn {
-			n.Totals.Late++
-			return
-		}
+		n.Totals.Late++
+		return
 	}
 	n.write(l.conn, bare(trunk.Heard, m.Call, 0))
 	k := n.calls[m.Call]
@@ -410,6 +423,11 @@
 	}
 }
 
+// refusal says whether a cause is one of a set-up that never stood: a standing call ends with another.
+func refusal(cause byte) bool {
+	return cause == trunk.CauseFull || cause == trunk.CauseBusy || cause == trunk.CauseFault || cause == trunk.CauseNotSent
+}
+
 // bare is a message with at most a cause.
 func bare(typ byte, call uint64, cause byte) []byte {
 	m := trunk.Message{Type: typ, Call: call}
@@ -453,7 +471,8 @@
 	if a.Timeout > 0 {
 		at.expires = min(k.deadline, n.now+a.Timeout)
 	}
-	if k.out != nil || n.now >= at.expires || s.phase != larkrouter.Ready && n.now-s.told > n.cfg.Figures.DrainGrace ||
+	drained := s.phase != larkrouter.Ready && n.now-s.told > n.cfg.Figures.DrainGrace
+	if k.out != nil || n.now >= at.expires || drained ||
 		n.cfg.Module.MaxAttempts > 0 && k.attempts > n.cfg.Module.MaxAttempts {
 		n.note(Note{Event: "attempt kept back", Server: s.id, Call: k.id})
 		n.tell(larkrouter.AttemptOver{Call: k.number, Attempt: at.ordinal, Outcome: larkrouter.NotSent, Server: s.num})
@@ -579,7 +598,8 @@
 	}
 	var all []Report
 	for _, s := range n.order {
-		r := Report{Server: s.id, Phase: phaseNames[s.phase], Waiting: len(s.queue), Standing: len(s.standing), Counts: s.counts, View: views[s.num]}
+		r := Report{Server: s.id, Phase: phaseNames[s.phase], Waiting: len(s.queue), Standing: len(s.standing), Counts: s.counts,
+			View: views[s.num]}
 		for _, l := range s.lines {
 			if l.up {
 				r.Lines++
--- a/internal/edge/reach/reach.go
+++ b/internal/edge/reach/reach.go
@@ -1,11 +1,11 @@
 // Package reach judges, from what connections show, whether a call server can be reached: when the next connection to
 // it is opened, and when the calls that stand there must be over. It has no I/O, no clock and no randomness.
 //
-// One reset connection proves nothing: connections are reset while the server goes on. What proves that a process has
-// ended is that its port goes on refusing connections while no other is open, or nothing is heard on those that are: a
-// server that was drained and has stopped leaves them open. What a machine leaves behind that has vanished is
-// silence: nothing on any connection, and new ones that never come up; the same is seen while the way there is cut, and
-// then calls go on, so that it takes Unreachable until they are given up.
+// One reset connection proves nothing: connections are reset while the server goes on. What shows that a process has
+// died is that its connections have ended and its port goes on refusing new ones. Where some are open and nothing is
+// heard on them, calls may well go on there: a server that drains has been seen to refuse new connections and to say
+// nothing on old ones for seconds while its calls went on, and a way that is cut looks the same as a machine that has
+// vanished. Then it takes Unreachable until its calls are given up, or the list's word that it is gone.
 package reach
 
 import "time"
@@ -14,8 +14,8 @@
 type Settings struct {
 	Timeout     time.Duration // a connection that is not up by then never comes up; 500 ms
 	Quiet       time.Duration // with nothing heard for so long, a connection is tried; 1.6 s
-	Unreachable time.Duration // nothing heard for so long, and tries that do not come up: its calls are over; 5.5 s
-	Refused     time.Duration // refused for so long, nothing open: its calls are over; 300 ms
+	Unreachable time.Duration // nothing heard for so long, and tries that do not come up: its calls are over; 6 s
+	Refused     time.Duration // refused for so long, all connections ended: its calls are over; 1 s
 	First, Most time.Duration // between failed tries; 40 ms, doubling up to 500 ms
 }
 
@@ -27,8 +27,8 @@
 	}
 	def(&s.Timeout, 500*time.Millisecond)
 	def(&s.Quiet, 1600*time.Millisecond)
-	def(&s.Unreachable, 5500*time.Millisecond)
-	def(&s.Refused, 300*time.Millisecond)
+	def(&s.Unreachable, 6*time.Second)
+	def(&s.Refused, time.Second)
 	def(&s.First, 40*time.Millisecond)
 	def(&s.Most, 500*time.Millisecond)
 }
@@ -42,7 +42,7 @@
 	next     time.Duration // no try before
 	refused  time.Duration // when the refusals began that go on
 	refusing bool
-	silent   bool // the last failure was a try that never came up
+	left     bool // the node itself has closed those that led nowhere
 }
 
 // New begins with a server that was not tried yet.
@@ -54,11 +54,11 @@
 // Open tells that a connection came up.
 func (s *State) Open(now time.Duration) {
 	s.open++
-	s.failures, s.refusing, s.silent, s.heard, s.next = 0, false, false, now, now
+	s.failures, s.refusing, s.left, s.heard, s.next = 0, false, false, now, now
 }
 
 // Heard tells that bytes came.
-func (s *State) Heard(now time.Duration) { s.heard, s.silent = now, false }
+func (s *State) Heard(now time.Duration) { s.heard = now }
 
 // Closed tells that an open connection has ended.
 func (s *State) Closed(now time.Duration) {
@@ -72,7 +72,7 @@
 	if refused && !s.refusing {
 		s.refused = now
 	}
-	s.refusing, s.silent = refused, !refused
+	s.refusing = refused
 	s.next = now + min(s.set.First<<min(s.failures-1, 8), s.set.Most)
 }
 
@@ -89,13 +89,19 @@
 	return s.failures >= 2 && now-s.heard >= s.set.Quiet
 }
 
-// Dead says whether calls that stand there are over, and why.
-func (s *State) Dead(now time.Duration) (string, bool) {
+// Leave tells that the node closes the connections that lead nowhere.
+func (s *State) Leave() { s.left = true }
+
+// Dead says whether calls that stand there are over, and why. gone is the list's word that the server is.
+func (s *State) Dead(now time.Duration, gone bool) (string, bool) {
 	switch {
-	case s.refusing && s.failures >= 2 && (s.open == 0 || s.Mute(now)) && now-s.refused >= s.set.Refused:
+	case s.failures < 2:
+	case gone && (s.open == 0 || s.Mute(now)):
+		return "gone, and no connection comes up", true
+	case s.refusing && s.open == 0 && !s.left && now-s.refused >= s.set.Refused:
 		return "refuses connections", true
-	case s.silent && s.failures >= 2 && now-s.heard >= s.set.Unreachable:
-		return "silent, connections never come up", true
+	case now-s.heard >= s.set.Unreachable:
+		return "silent, and no connection comes up", true
 	}
 	return "", false
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -158,6 +158,8 @@
 	sh.followFeed()
 	defer func() { sh.unread() }()
 	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen.String(), "channel", cfg.Channel, "cursor", cfg.Cursor,
+		"classes", cfg.Module.Classes, "release_guard", cfg.Module.ReleaseGuard.String(), "retransmit", cfg.Module.Retransmit.String(),
+		"ramp", cfg.Module.RampTime.String(), "instances", cfg.Module.Instances, "report", cfg.Module.ReportFields,
 		"memory_mb", cfg.Limits.Memory>>20, "sockets", cfg.Limits.Sockets, "cores", cfg.Limits.Cores)
 	sh.run(signals)
 	return nil
--- /dev/null
+++ b/internal/edge/trunk/trunk_test.go
@@ -0,0 +1,99 @@
+package trunk
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+)
+
+func message() *Message {
+	return &Message{Type: SetUp, Call: 0x9b1f03aa5c7e2d41, Params: []Param{{Class, []byte("voice")}, {Left, []byte("1500")},
+		{Description, []byte("9d41\r\n")}}}
+}
+
+// The bytes are those of the platform's layout, and come back whole however they are cut.
+func TestStream(t *testing.T) {
+	b, err := message().Append(nil)
+	want := "\x00\x21\x01\x9b\x1f\x03\xaa\x5c\x7e\x2d\x41\x01\x00\x05voice\x03\x00\x041500\x1f\x00\x069d41\r\n"
+	if err != nil || string(b) != want {
+		t.Fatalf("%q, %v; %q is right", b, err, want)
+	}
+	for cut := range len(b) {
+		var s Stream
+		s.Feed(b[:cut])
+		if m, err := s.Next(); m != nil || err != nil {
+			t.Fatalf("after %d bytes: %v, %v", cut, m, err)
+		}
+		s.Feed(b[cut:])
+		s.Feed(b)
+		for range 2 {
+			if m, err := s.Next(); err != nil || fmt.Sprint(m) != fmt.Sprint(message()) {
+				t.Fatalf("cut at %d: %v, %v", cut, m, err)
+			}
+		}
+	}
+}
+
+// What can't be read ends the stream, with one error for good.
+func TestUnreadable(t *testing.T) {
+	for name, b := range map[string]string{"short": "\x00\x08\x01\x00\x00\x00\x00\x00\x00\x00", "long": "\xff\xff",
+		"unknown type":           "\x00\x09\x63\x00\x00\x00\x00\x00\x00\x00\x01",
+		"parameter past the end": "\x00\x0d\x09\x00\x00\x00\x00\x00\x00\x00\x01\x1f\x00\x09x",
+		"half a parameter":       "\x00\x0b\x09\x00\x00\x00\x00\x00\x00\x00\x01\x1f\x00",
+		"parameter twice":        "\x00\x11\x0c\x00\x00\x00\x00\x00\x00\x00\x01\x1d\x00\x01\x10\x1d\x00\x01\x10"} {
+		var s Stream
+		s.Feed([]byte(b))
+		m, err := s.Next()
+		if m != nil || err == nil {
+			t.Errorf("%s: %v, %v", name, m, err)
+		}
+		s.Feed([]byte("\x00\x09\x10\x00\x00\x00\x00\x00\x00\x00\x01"))
+		if m, again := s.Next(); m != nil || again != err {
+			t.Errorf("%s, later: %v, %v", name, m, again)
+		}
+	}
+	if _, err := (&Message{Type: SetUp, Params: []Param{{Description, make([]byte, MaxMessage)}}}).Append(nil); err == nil {
+		t.Error("a message over the limit was written")
+	}
+}
+
+func TestReport(t *testing.T) {
+	fields := []string{"free", "size", "lat_ms"}
+	for text, want := range map[string]string{"free:12;size:40;lat_ms:3.5": "[12 40 3.5]", "size:40;other:1": "[-1 40 -1]", "": "[]",
+		"free:NaN;size:Inf;lat_ms:x": "[-1 -1 -1]", "x0:1": "[]", "free": "[]", "free:1;;": "[1 -1 -1]"} {
+		if got := fmt.Sprint(ReadReport([]byte(text), fields)); got != want {
+			t.Errorf("%q: %s, %s is right", text, got, want)
+		}
+	}
+}
+
+// Whatever comes, the reader neither fails nor holds more than a message; what it reads it writes the same.
+func FuzzStream(f *testing.F) {
+	b, _ := message().Append(nil)
+	f.Add(b, 3)
+	f.Add([]byte("\x00\x0d\x09\x00\x00\x00\x00\x00\x00\x00\x01\x1f\x00\x01x\xff\xff"), 1)
+	f.Fuzz(func(t *testing.T, b []byte, piece int) {
+		piece = max(1, piece%4096)
+		var s Stream
+		for at := 0; at < len(b); at += piece {
+			s.Feed(b[at:min(len(b), at+piece)])
+			for {
+				m, err := s.Next()
+				if err != nil {
+					return
+				}
+				if m == nil {
+					break
+				}
+				w, err := m.Append(nil)
+				if err != nil || !bytes.Contains(b, w) {
+					t.Fatalf("%v is written as %q (%v), which did not come", m, w, err)
+				}
+			}
+			if s.Waiting() > MaxMessage+piece {
+				t.Fatalf("%d bytes wait", s.Waiting())
+			}
+			ReadReport(b, []string{"free", "size"})
+		}
+	})
+}
