--- a/internal/edge/access/access_test.go
+++ b/internal/edge/access/access_test.go
@@ -158,6 +158,11 @@
 // A second set-up at the same server goes out on another connection, so that the first one's late answer and late refusal
 // are told from its own, and the end of the call that stands is not taken for the first one's.
 func TestSecondSetUpAtOneServer(t *testing.T) {
+	t.Run("refused late", func(t *testing.T) { secondSetUp(t, true) })
+	t.Run("ended there", func(t *testing.T) { secondSetUp(t, false) })
+}
+
+func secondSetUp(t *testing.T, refusedLate bool) {
 	r := newRig(t, testConfig(), "s-1")
 	c := r.caller()
 	r.say(c, strings.Replace(invite(1, "dest:0;width:1;via:-1"), "3000", "8000", 1))
@@ -181,8 +186,11 @@
 	r.want("late answer of the first", r.heard(c), "[]")
 	r.trunk(second, trunk.Answer, 1, answer)
 	r.want("answer of the second", r.heard(c), "[200 INVITE]")
-	r.trunk(first, trunk.Release, 1, cause(34))
-	r.want("late refusal of the first", r.heard(c), "[]")
+	if refusedLate {
+		r.trunk(first, trunk.Release, 1, cause(34))
+		r.want("late refusal of the first", r.heard(c), "[]")
+		return
+	}
 	r.trunk(first, trunk.Release, 1, cause(16))
 	r.want("its end, told on the other connection", r.heard(c), "[BYE]")
 }
@@ -426,3 +434,22 @@
 			len(n.servers), len(n.lines), n.heap.Len())
 	}
 }
+
+// After a stall of 300 ms what is overdue is over before anything is sent: no answer past its deadline, and nothing to a
+// server that the list, read in the same turn, has draining.
+func TestStall(t *testing.T) {
+	r := newRig(t, testConfig(), "s-1", "s-2")
+	c := r.caller()
+	r.say(c, strings.Replace(invite(1, "dest:0;width:1;via:-1"), "3000", "250", 1))
+	l := r.got("s-1")[0].conn
+	r.now += 300 * ms // nothing is read or fired meanwhile
+	r.list(false, row("s-1", 0, "draining", 0))
+	r.trunk(l, trunk.Answer, 1, answer)
+	r.say(c, invite(2, "dest:0;width:1;via:-1"))
+	r.run(400 * ms)
+	r.want("an answer past its deadline", r.heard(c), "[]")
+	r.want("the draining server", r.got("s-1"), "[12/1/16]")
+	if got := fmt.Sprint(r.got("s-2")); !strings.Contains(got, "1/2/0") {
+		t.Errorf("the other server got %s", got)
+	}
+}
--- a/internal/edge/day_test.go
+++ b/internal/edge/day_test.go
@@ -275,3 +275,39 @@
 	})
 	st.stop()
 }
+
+// A caller that reads nothing costs its own connection and no more: others are answered all the while.
+func TestCallerReadsNothing(t *testing.T) {
+	st := newStage(t, 1)
+	callers := standin.NewCallers(st.addr, st.rec, 0xdd0000)
+	defer callers.Close()
+	if err := callers.Ready(5 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", st.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	ended := make(chan bool, 1)
+	go func() {
+		ask := []byte(strings.Repeat("OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: 0000000000000001\r\nCSeq: 1 OPTIONS\r\nContent-Length: "+
+			"0\r\n\r\n", 100))
+		_ = c.SetWriteDeadline(time.Now().Add(30 * time.Second))
+		for {
+			if _, err := c.Write(ask); err != nil {
+				ended <- !os.IsTimeout(err)
+				return
+			}
+		}
+	}()
+	for range 50 {
+		callers.Place("dest:0;width:1;via:-1")
+		time.Sleep(10 * time.Millisecond)
+	}
+	eventually(t, "honest calls", func() bool { overdue, _ := callers.Left(); return overdue == 0 && callers.Counts().Stood >= 45 })
+	if !<-ended {
+		t.Error("a connection that reads nothing is kept")
+	}
+	st.stop()
+}
--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -17,16 +17,15 @@
 
 // Server is a line of the list.
 type Server struct {
-	ID       string          `json:"id"`
-	Addr     string          `json:"host_port"`
-	Zone     string          `json:"locality"`
-	Kind     string          `json:"flavor"`
-	Cell     int             `json:"cell"`
-	Phase    string          `json:"phase"` // up, draining or removed
-	Size     float64         `json:"size"`
-	Started  int64           `json:"up_since_ms"` // Unix milliseconds of a late start; 0: long ago
-	HostPort netip.AddrPort  `json:"-"`
-	Unknown  json.RawMessage `json:"-"`
+	ID       string         `json:"id"`
+	Addr     string         `json:"host_port"`
+	Zone     string         `json:"locality"`
+	Kind     string         `json:"flavor"`
+	Cell     int            `json:"cell"`
+	Phase    string         `json:"phase"` // up, draining or removed
+	Size     float64        `json:"size"`
+	Started  int64          `json:"up_since_ms"` // Unix milliseconds of a late start; 0: long ago
+	HostPort netip.AddrPort `json:"-"`
 }
 
 // Phases of a server.
