Virtual network: a datagram that comes back refused is told as lost

A dump of one session: the CANCEL was sent and came back refused, and virtual.Net.send (the refused branch of UDP) told nobody of it. Ruled out: the module; the node, which sends its CANCEL after the 100.

Change: what comes back refused is told to Missed.

--- a/internal/virtual/net.go
+++ b/internal/virtual/net.go
@@ -282,6 +282,7 @@
 		n.At(at, func() {
 			dst := n.at[to.Addr]
 			if dst == nil || n.Refuses != nil && n.Refuses(to.Addr) {
+				n.missed(0, src, to, m)
 				n.At(n.later(), func() {
 					n.deliver(h, func() {
 						h.act.Lost(n.now, to, &sip.SendError{Branch: m.Branch(), Err: fmt.Errorf("%v: %w", to, sip.ErrRefused)})
