Edge: callers' connections judged in a pure package; releases owed only on a cut way

Need: read once more, the change had tuned values in the access core and the shell, a copy of the module's actions on the call path that nothing needs, one piece of code twice in the shell, fields nobody read, and up to 1,000 releases owed to a server whose process had died: a push on a cold one.

Change: internal/edge/admit (which connections are kept, shares of descriptors); releases are owed only where the last try got no answer, and not to a process started anew; an attempt at a server forgotten meanwhile is told as not sent.

--- a/internal/edge/access/access_test.go
+++ b/internal/edge/access/access_test.go
@@ -238,6 +238,8 @@
 		}
 		r.run(2400 * ms)
 		r.want(how+": after 7.9 s", r.heard(c), "[BYE]")
+		// Only where the way may be cut is a release owed: a process that is gone gets no push when it is back.
+		r.want(how+": releases owed", len(r.n.servers["s-1"].owed), map[string]string{"silent": "1", "refused": "0"}[how])
 	}
 }
 
--- a/internal/edge/access/callers.go
+++ b/internal/edge/access/callers.go
@@ -6,32 +6,24 @@
 	"time"
 
 	"larkrouter"
+	"larkrouter/internal/edge/admit"
 	codec "larkrouter/internal/edge/caller"
 	"larkrouter/internal/sip"
 	"larkrouter/internal/timers"
 )
 
-// How long connections from callers are kept. Callers close theirs after 4 s without a call, and a bad client is to
-// be answered or closed within 3 s of connecting.
+// Releases that callers are owed.
 const (
-	unprovenFor = 2200 * time.Millisecond // one on which nothing was ever answered and no set-up is open
-	idleFor     = 8 * time.Second         // one with nothing open on it
-	partFor     = 2 * time.Second         // one on which a message has begun and does not end
-	openPerConn = 256                     // set-ups open on one
-	byesMost    = 500
-	owedFor     = 30 * time.Second
-	byeUnread   = time.Second // a release written to one that ends within this is sent on another too
+	byesMost  = 500
+	owedFor   = 30 * time.Second
+	byeUnread = time.Second // a release written to one that ends within this is sent on another too
 )
 
 // caller is a connection from callers.
 type caller struct {
-	conn   Conn
-	opened time.Duration
-	used   time.Duration
-	part   time.Duration // since when a message has begun that is not whole; 0: none
-	open   int           // set-ups owed an answer
-	proven bool          // a call that came on it stood: it is a caller's, and not somebody's who only asks
-	byes   []release     // written to it lately: should it end, nobody may have read them
+	admit.Conn
+	conn Conn
+	byes []release // written to it lately: should it end, nobody may have read them
 }
 
 // call is a set-up owed an answer, or one that stands.
@@ -40,10 +32,8 @@
 	id       uint64
 	text     string // the id as it came
 	called   string // the number called, as it came
-	class    int
-	conn     Conn // it came on
+	conn     Conn   // it came on
 	req      *sip.Message
-	arrived  time.Duration
 	deadline time.Duration
 	timer    timers.Timer
 	attempts int
@@ -76,18 +66,14 @@
 			return
 		}
 	}
-	n.callers[c] = &caller{conn: c, opened: n.now, used: n.now}
+	n.callers[c] = &caller{conn: c, Conn: admit.Conn{Opened: n.now, Used: n.now}}
 }
 
 // idlest is the connection that gives way: none with a set-up open; first those that never brought a call that stood.
 func (n *Node) idlest() *caller {
 	var best *caller
 	for _, c := range n.callers {
-		if c.open > 0 {
-			continue
-		}
-		if best == nil || !c.proven && best.proven ||
-			c.proven == best.proven && (c.used < best.used || c.used == best.used && c.conn < best.conn) {
+		if c.Open == 0 && (best == nil || c.YieldsTo(&best.Conn) || !best.YieldsTo(&c.Conn) && c.conn < best.conn) {
 			best = c
 		}
 	}
@@ -113,7 +99,7 @@
 			n.sayBye(r, nil)
 		}
 	}
-	if c.open == 0 {
+	if c.Open == 0 {
 		return
 	}
 	for _, k := range n.openCalls() {
@@ -130,9 +116,9 @@
 	if c := n.callers[conn]; c == nil {
 		return
 	} else if !part {
-		c.part = 0
-	} else if c.part == 0 {
-		c.part = n.now
+		c.Part = 0
+	} else if c.Part == 0 {
+		c.Part = n.now
 	}
 }
 
@@ -166,7 +152,7 @@
 	if c == nil { // closed by the node: what crosses that was not taken
 		return
 	}
-	c.used = n.now
+	c.Used = n.now
 	id, err := codec.ID(m.Get("Call-ID"))
 	switch {
 	case !m.IsRequest():
@@ -228,10 +214,10 @@
 	}
 	old, dup := n.calls[s.ID]
 	if s.At != "" {
-		n.adopt(c, s, m, class, old)
+		n.adopt(c, s, m, old)
 		return
 	}
-	if dup || n.ended.at[s.ID].when > 0 || c.open >= openPerConn || n.cfg.Figures.OpenCap > 0 && n.open >= n.cfg.Figures.OpenCap {
+	if dup || n.ended.at[s.ID].when > 0 || !c.Takes() || n.cfg.Figures.OpenCap > 0 && n.open >= n.cfg.Figures.OpenCap {
 		status := 503
 		if dup || n.ended.at[s.ID].when > 0 { // each set-up has an id of its own
 			status = 482
@@ -242,14 +228,14 @@
 	}
 	n.Totals.Calls++
 	n.lastNum++
-	k := &call{number: n.lastNum, id: s.ID, text: m.Get("Call-ID"), called: s.Number, class: class, conn: c.conn, req: m,
-		arrived: arrived, deadline: arrived + s.Left, setUp: s}
+	k := &call{number: n.lastNum, id: s.ID, text: m.Get("Call-ID"), called: s.Number, conn: c.conn, req: m,
+		deadline: arrived + s.Left, setUp: s}
 	if n.until > 0 {
 		k.deadline = max(n.now, min(k.deadline, n.until))
 	}
 	n.calls[k.id], n.numbers[k.number] = k, k
 	n.open++
-	c.open++
+	c.Open++
 	n.heap.Set(&k.timer, k.deadline, func() { n.overdue(k) })
 	n.tell(larkrouter.Call{ID: k.number, Class: class, Key: s.Key, Left: k.deadline - n.now, Destination: s.Destination,
 		Circuits: s.Circuits, Via: s.Via, DialedAgain: s.Resent, Returning: s.Again})
@@ -300,8 +286,8 @@
 	n.write(k.conn, codec.Answer(k.req, 200, 0, description))
 	n.open--
 	if c := n.callers[k.conn]; c != nil {
-		c.open--
-		c.used = n.now
+		c.Open--
+		c.Used = n.now
 		n.prove(c)
 	}
 	n.heap.Stop(&k.timer)
@@ -316,8 +302,8 @@
 	if !k.stands {
 		n.open--
 		if c := n.callers[k.conn]; c != nil {
-			c.open--
-			c.used = n.now
+			c.Open--
+			c.Used = n.now
 		}
 	}
 	if k.server != nil {
@@ -339,7 +325,7 @@
 func (n *Node) sayBye(r release, to *caller) {
 	if to == nil {
 		for _, c := range n.callers {
-			if c.proven && (to == nil || c.used > to.used || c.used == to.used && c.conn > to.conn) {
+			if c.Proven && (to == nil || c.Used > to.Used || c.Used == to.Used && c.conn > to.conn) {
 				to = c
 			}
 		}
@@ -360,7 +346,7 @@
 
 // prove marks a connection as a caller's, and sends what callers are owed.
 func (n *Node) prove(c *caller) {
-	c.proven = true
+	c.Proven = true
 	owed := n.owed
 	n.owed = nil
 	for _, r := range owed {
@@ -369,7 +355,7 @@
 }
 
 // adopt takes a call that stands at a call server already, as the caller says. It wants no answer.
-func (n *Node) adopt(c *caller, s *codec.SetUp, m *sip.Message, class int, old *call) {
+func (n *Node) adopt(c *caller, s *codec.SetUp, m *sip.Message, old *call) {
 	if old != nil {
 		if old.stands {
 			old.conn = c.conn
@@ -377,7 +363,7 @@
 		return
 	}
 	n.lastNum++
-	k := &call{number: n.lastNum, id: s.ID, text: m.Get("Call-ID"), called: s.Number, class: class, conn: c.conn, stands: true,
+	k := &call{number: n.lastNum, id: s.ID, text: m.Get("Call-ID"), called: s.Number, conn: c.conn, stands: true,
 		since: n.now}
 	srv := n.servers[s.At]
 	if over, ok := n.ended.at[s.ID]; ok {
@@ -410,10 +396,7 @@
 	}
 	var gone []*caller
 	for _, c := range n.callers {
-		switch idle := n.now - c.used; {
-		case c.part > 0 && n.now-c.part >= partFor && c.open == 0,
-			c.open == 0 && !c.proven && n.now-c.opened >= unprovenFor,
-			c.open == 0 && idle >= idleFor:
+		if c.Over(n.now) {
 			gone = append(gone, c)
 		}
 	}
--- a/internal/edge/access/node.go
+++ b/internal/edge/access/node.go
@@ -161,7 +161,7 @@
 	for len(n.events) > 0 {
 		ev := n.events[0]
 		n.events = n.events[1:]
-		for _, a := range slices.Clone(n.module.Handle(n.now, ev)) {
+		for _, a := range n.module.Handle(n.now, ev) { // valid until the next Handle, which waits its turn
 			n.act(a)
 		}
 	}
--- a/internal/edge/access/servers.go
+++ b/internal/edge/access/servers.go
@@ -111,6 +111,7 @@
 		}
 	}
 	for _, s := range restarted { // what stood before its start is over
+		s.owed = nil // of the process before
 		for _, k := range s.calls() {
 			if k.since < s.started {
 				n.cut(k, "its server has started anew")
@@ -169,13 +170,13 @@
 		for _, o := range n.order {
 			if o != s && o.phase != larkrouter.Gone && o.addr == s.addr {
 				n.leave(s, "another has its address")
-				n.dead(s, "another has its address")
+				n.dead(s, "another has its address", false)
 				return
 			}
 		}
 	}
 	if cause, dead := s.reach.Dead(n.now, s.phase == larkrouter.Gone); dead && len(s.standing) > 0 {
-		n.dead(s, cause)
+		n.dead(s, cause, s.reach.Silent())
 	}
 	if s.reach.Mute(n.now) && slices.ContainsFunc(s.lines, func(l *line) bool { return l.up }) {
 		s.reach.Leave()
@@ -200,11 +201,12 @@
 	}
 }
 
-// dead ends the calls that stood at a server whose process has died or whose machine has vanished.
-func (n *Node) dead(s *server, cause string) {
+// dead ends the calls that stood at a server whose process has died or whose machine has vanished. Should only the way
+// there be cut, they still stand, and their releases are owed.
+func (n *Node) dead(s *server, cause string, owed bool) {
 	n.note(Note{Event: "calls cut", Server: s.id, Cause: cause, Count: len(s.standing)})
 	for _, k := range s.calls() {
-		if len(s.owed) < owedMost { // should only the way there be cut, they still stand
+		if owed && len(s.owed) < owedMost {
 			s.owed = append(s.owed, k.id)
 		}
 		n.cut(k, cause)
@@ -463,9 +465,14 @@
 // attempt carries out what the module wants set up. What can't go out any more is not sent.
 func (n *Node) attempt(a larkrouter.Attempt) {
 	k, s := n.numbers[a.Call], n.byNum[a.Server]
-	if k == nil || k.stands || s == nil {
+	if k == nil || k.stands {
 		return // the call is over, and the module has been told
 	}
+	if s == nil { // forgotten here
+		k.attempts++
+		n.tell(larkrouter.AttemptOver{Call: k.number, Attempt: k.attempts - 1, Outcome: larkrouter.NotSent, Server: a.Server})
+		return
+	}
 	at := &attempt{call: k, ordinal: k.attempts, srv: s, began: n.now, expires: k.deadline}
 	k.attempts++
 	if a.Timeout > 0 {
--- a/internal/edge/day_test.go
+++ b/internal/edge/day_test.go
@@ -87,6 +87,17 @@
 	go func() { st.ended <- Serve(cfg, st.path, slog.New(slog.NewTextHandler(io.Discard, nil)), st.signals) }()
 }
 
+// callers are such as call the node, which is ready.
+func (st *stage) callers(first uint64) *standin.Callers {
+	st.t.Helper()
+	c := standin.NewCallers(st.addr, st.rec, first)
+	st.t.Cleanup(c.Close)
+	if err := c.Ready(5 * time.Second); err != nil {
+		st.t.Fatal(err)
+	}
+	return c
+}
+
 // stop tells the node to end and waits for it.
 func (st *stage) stop() {
 	st.t.Helper()
@@ -116,11 +127,7 @@
 // restart. The five rules are read off what the stand-ins saw.
 func TestBadDayOnSockets(t *testing.T) {
 	st := newStage(t, 3)
-	callers := standin.NewCallers(st.addr, st.rec, 0xaa0000)
-	defer callers.Close()
-	if err := callers.Ready(5 * time.Second); err != nil {
-		t.Fatal(err)
-	}
+	callers := st.callers(0xaa0000)
 	place := func(d time.Duration) {
 		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(12 * time.Millisecond) {
 			callers.Place("dest:0;width:1;via:-1")
@@ -204,11 +211,7 @@
 // Hundreds of silent connections at the limit are closed within 3 s, and honest calls pass all the while.
 func TestSilentCrowdOnSockets(t *testing.T) {
 	st := newStage(t, 1)
-	callers := standin.NewCallers(st.addr, st.rec, 0xbb0000)
-	defer callers.Close()
-	if err := callers.Ready(5 * time.Second); err != nil {
-		t.Fatal(err)
-	}
+	callers := st.callers(0xbb0000)
 	closed := make(chan time.Duration, 700)
 	for range 700 {
 		c, err := net.Dial("tcp", st.addr)
@@ -262,11 +265,7 @@
 		}
 	}
 	st.signals <- syscall.SIGHUP // reads the last of them
-	callers := standin.NewCallers(st.addr, st.rec, 0xcc0000)
-	defer callers.Close()
-	if err := callers.Ready(5 * time.Second); err != nil {
-		t.Fatal(err)
-	}
+	callers := st.callers(0xcc0000)
 	callers.Place("dest:0;width:1;via:-1")
 	eventually(t, "a call after a bad reload", func() bool {
 		overdue, _ := callers.Left()
@@ -279,11 +278,7 @@
 // A caller that reads nothing costs its own connection and no more: others are answered all the while.
 func TestCallerReadsNothing(t *testing.T) {
 	st := newStage(t, 1)
-	callers := standin.NewCallers(st.addr, st.rec, 0xdd0000)
-	defer callers.Close()
-	if err := callers.Ready(5 * time.Second); err != nil {
-		t.Fatal(err)
-	}
+	callers := st.callers(0xdd0000)
 	c, err := net.Dial("tcp", st.addr)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/edge/reach/reach.go
+++ b/internal/edge/reach/reach.go
@@ -92,6 +92,9 @@
 // Leave tells that the node closes the connections that lead nowhere.
 func (s *State) Leave() { s.left = true }
 
+// Silent says whether the last try got no answer at all: the way may be cut, and the server alive.
+func (s *State) Silent() bool { return s.failures > 0 && !s.refusing }
+
 // Dead says whether calls that stand there are over, and why. gone is the list's word that the server is.
 func (s *State) Dead(now time.Duration, gone bool) (string, bool) {
 	switch {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"larkrouter/internal/edge/access"
+	"larkrouter/internal/edge/admit"
 	"larkrouter/internal/edge/feed"
 	"larkrouter/internal/edge/settings"
 	"larkrouter/internal/edge/trunk"
@@ -133,8 +134,9 @@
 	if descriptors == 0 {
 		descriptors = 1024
 	}
-	sh.most = int64(descriptors) * 17 / 20
-	node, err := access.New(access.Config{Module: cfg.Module, Figures: cfg.Figures, Seed: cfg.Seed, Callers: descriptors * 11 / 20, Lines: 4,
+	callers, all := admit.Shares(descriptors)
+	sh.most = int64(all)
+	node, err := access.New(access.Config{Module: cfg.Module, Figures: cfg.Figures, Seed: cfg.Seed, Callers: callers, Lines: 4,
 		Wall: h.begin.Add(-zero).UnixMilli()}, h.clock())
 	if err != nil {
 		return err
@@ -306,18 +308,27 @@
 	sh.log.Info("stopped", "clean", true)
 }
 
+// adopt begins to read a connection; nil where it has broken already.
+func (sh *shell) adopt(id access.Conn, c *net.TCPConn, isTrunk bool) *socket {
+	s, err := newSocket(id, c, isTrunk)
+	if err != nil {
+		sh.sockets.Add(-1)
+		c.Close()
+		return nil
+	}
+	sh.conns[id] = s
+	go s.read(sh.hub)
+	return s
+}
+
 func (sh *shell) take(ev *event) {
 	now := sh.clock()
 	switch ev.kind {
 	case accepted:
-		s, err := newSocket(sh.node.NewConn(), ev.conn, false)
-		if err != nil {
-			sh.sockets.Add(-1)
-			ev.conn.Close()
+		s := sh.adopt(sh.node.NewConn(), ev.conn, false)
+		if s == nil {
 			return
 		}
-		sh.conns[s.id] = s
-		go s.read(sh.hub)
 		sh.node.CallerOpen(now, s.id)
 	case dialed:
 		wanted := sh.dials[ev.id]
@@ -328,14 +339,16 @@
 			}
 			return
 		}
-		s, err := newSocket(ev.id, ev.conn, true)
-		if !wanted || err != nil {
+		if !wanted {
 			sh.sockets.Add(-1)
 			ev.conn.Close()
 			return
 		}
-		sh.conns[s.id] = s
-		go s.read(sh.hub)
+		s := sh.adopt(ev.id, ev.conn, true)
+		if s == nil {
+			sh.node.TrunkFailed(now, ev.id, false)
+			return
+		}
 		sh.node.TrunkUp(now, s.id)
 	case unstuck:
 		sh.unstuck(ev)
--- a/internal/sip/parse.go
+++ b/internal/sip/parse.go
@@ -226,10 +226,7 @@
 		return bad(0, nil, "%v", err)
 	}
 	for _, name := range [...]string{"From", "To"} {
-		if bare {
-			break
-		}
-		if _, err := ParseAddress(m.Get(name)); err != nil {
+		if _, err := ParseAddress(m.Get(name)); err != nil && !bare {
 			return bad(400, m, "%s: %v", name, err)
 		}
 	}
