Edge: a call whose time is up still gets its one final answer

Traced with a probe that logged one call's steps: 'att0 s-@12.037653 to 422.4ms sent exp 12.460070912 over0(timed out)@12.464127669 refuse@12.464127669', deadline 12.464070912. The module ends a call four ticks (4 ms here) before its deadline; the node, on a quarter of a core, came to that timer 4.06 ms late. The module refused at once, and refuse() in callers.go kept the answer back since the deadline had passed 0.06 ms before; onAnswer and the call's own timer kept it back in the same way. Ruled out: the module (its outcome and its refusal came in the same turn), connections (one set-up, written at once), lists.

So refuse() has no look at the clock any more, and overdue() answers 504. What the caller has taken back still gets nothing.

--- a/internal/edge/access/access_test.go
+++ b/internal/edge/access/access_test.go
@@ -101,7 +101,8 @@
 }
 
 // A call given up by the module has its answer at once, with how long to stay away; nothing is sent to a caller that has
-// left or whose time is up, and its set-up is released.
+// left, and its set-up is released. One whose time is up has one final answer, however late the node comes to it, and
+// never that it stands.
 func TestGivenUp(t *testing.T) {
 	cfg := testConfig()
 	cfg.Module.MaxAttempts = 1
@@ -124,8 +125,30 @@
 	r.now += 3 * time.Second
 	r.trunk(l, trunk.Answer, 3, answer)
 	r.run(time.Second)
-	r.want("after the deadline", r.heard(c), "[]")
+	r.want("after the deadline", r.heard(c), "[504 INVITE]")
 	r.want("release of an answer too late", r.got("s-1"), "[12/3/16]")
+
+	if n := len(r.n.calls) + r.n.open; n != 0 {
+		t.Errorf("%d calls are kept", n)
+	}
+
+	r = newRig(t, cfg, "s-1")
+	c = r.caller()
+	r.setUp(c, 4, "s-1") // never answered, and the node is 5 ms late at the deadline
+	r.now += 3*time.Second + 5*ms
+	r.n.Advance(r.now)
+	r.settle()
+	r.want("at the deadline", r.heard(c), "[503 INVITE]")
+	r.want("release of what was not answered", r.got("s-1"), "[12/4/16]")
+
+	r = newRig(t, cfg, "s-1")
+	c = r.caller()
+	r.setUp(c, 5, "s-1") // and the caller has left as the node comes to it
+	r.now += 3*time.Second + 5*ms
+	r.say(c, message("CANCEL", 5, "", ""))
+	r.run(time.Second)
+	r.want("after its CANCEL", r.heard(c), "[]")
+	r.want("release of what was taken back", r.got("s-1"), "[12/5/16]")
 	if n := len(r.n.calls) + r.n.open; n != 0 {
 		t.Errorf("%d calls are kept", n)
 	}
@@ -437,7 +460,7 @@
 	}
 }
 
-// After a stall of 300 ms what is overdue is over before anything is sent: no answer past its deadline, and nothing to a
+// After a stall of 300 ms what is overdue has failed, whatever was answered meanwhile, and is told so; and nothing goes to a
 // server that the list, read in the same turn, has draining.
 func TestStall(t *testing.T) {
 	r := newRig(t, testConfig(), "s-1", "s-2")
@@ -449,7 +472,7 @@
 	r.trunk(l, trunk.Answer, 1, answer)
 	r.say(c, invite(2, "dest:0;width:1;via:-1"))
 	r.run(400 * ms)
-	r.want("an answer past its deadline", r.heard(c), "[]")
+	r.want("what came past its deadline", r.heard(c), "[504 INVITE]")
 	r.want("the draining server", r.got("s-1"), "[12/1/16]")
 	if got := fmt.Sprint(r.got("s-2")); !strings.Contains(got, "1/2/0") {
 		t.Errorf("the other server got %s", got)
--- a/internal/edge/access/callers.go
+++ b/internal/edge/access/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -241,13 +242,16 @@
 		Circuits: s.Circuits, Via: s.Via, DialedAgain: s.Resent, Returning: s.Again})
 }
 
-// overdue ends a call whose time is up: the caller waits no longer, so that nothing is sent.
+// overdue ends a call whose time is up. The module gives a call up a little before that; where the node comes to it late
+// the caller, which has not taken the set-up back, still gets its one final answer.
 func (n *Node) overdue(k *call) {
 	if k.stands || n.calls[k.id] != k {
 		return
 	}
 	n.Totals.Overdue++
-	n.withdraw(k)
+	n.note(Note{Event: "overdue", Call: k.id, Cause: fmt.Sprintf("%v after its deadline", n.now-k.deadline), Count: k.attempts})
+	n.tell(larkrouter.CallGone{Call: k.number})
+	n.refuse(k, 504, 0)
 }
 
 // withdraw ends a call that is owed no answer any more.
@@ -264,10 +268,6 @@
 	if k == nil || k.stands || n.calls[k.id] != k {
 		return
 	}
-	if n.now >= k.deadline { // nobody waits for it
-		n.overdue(k)
-		return
-	}
 	if status == 503 {
 		n.Totals.Refused++
 	} else {
