Edge: connections to call servers follow the node's own traffic

Now one connection, and as many as the node had set-ups out at once in the last ten to twenty seconds, at most four (reach.Demand); what is beyond goes one at a time, newest first. A connection that the server may be about to close as idle (connIdleUs less an eighth) takes no set-up and is closed here. A set-up that no open connection can take opens one.

--- a/internal/edge/access/access_test.go
+++ b/internal/edge/access/access_test.go
@@ -478,3 +478,49 @@
 		t.Errorf("the other server got %s", got)
 	}
 }
+
+// Connections to a server follow the node's own traffic: one while it has at most one set-up out, as many as it has out at
+// once in a burst, up to the bound, and one again later. One that was a check goes again, and the one that calls came on
+// stays. A connection that the server may be about to close as idle takes no set-up and is closed by the node.
+func TestConnectionsFollowTraffic(t *testing.T) {
+	cfg := testConfig()
+	cfg.Lines = 4
+	r := newRig(t, cfg, "s-1")
+	open := func() (n int) {
+		for _, c := range r.lines[addr("s-1")] {
+			if !r.closed[c] {
+				n++
+			}
+		}
+		return n
+	}
+	c := r.caller()
+	l := r.stand(c, 1, "s-1")
+	for range 80 {
+		if r.run(500 * ms); open() > 2 || r.closed[l] {
+			t.Fatalf("%d connections open, the first one closed %v: one and a check are right", open(), r.closed[l])
+		}
+	}
+	r.trunk(l, trunk.Release, 1, cause(16))
+	r.heard(c)
+	r.run(1500 * ms)
+	r.want("with the call over, open", open(), "1")
+	r.n.servers["s-1"].demand.Note(r.now, 9)
+	r.run(500 * ms)
+	r.want("after a burst, open", open(), "4")
+	r.run(60 * time.Second)
+	if open() > 2 || r.closed[l] {
+		t.Errorf("a minute later %d are open, the first one closed %v", open(), r.closed[l])
+	}
+
+	cfg.Figures.ConnIdle = 1600 * ms
+	r = newRig(t, cfg, "s-1")
+	r.run(1200 * ms)
+	r.want("idle, closed", r.closed[r.lines[addr("s-1")][0]], "false")
+	r.now += 300 * ms // as after a stall
+	r.say(r.caller(), invite(2, "dest:0;width:1;via:-1"))
+	r.run(200 * ms)
+	if got := r.got("s-1"); len(got) != 1 || got[0].conn != r.lines[addr("s-1")][1] || !r.closed[r.lines[addr("s-1")][0]] {
+		t.Errorf("the set-up went out as %v, on a connection opened for it is right", got)
+	}
+}
--- a/internal/edge/access/servers.go
+++ b/internal/edge/access/servers.go
@@ -23,6 +23,7 @@
 	told     time.Duration // when it was told to drain or to be gone
 	started  time.Duration
 	reach    *reach.State
+	demand   reach.Demand
 	lines    []*line // open or being opened
 	queue    []*attempt
 	standing map[*call]struct{}
@@ -38,6 +39,7 @@
 	conn  Conn
 	srv   *server
 	up    bool
+	used  time.Duration       // when it came up, or brought or took a message last
 	out   map[uint64]*attempt // by the caller's id
 	given map[uint64]struct{} // given up here: what still comes of them is late
 }
@@ -182,11 +184,14 @@
 		s.reach.Leave()
 		n.leave(s, "silent, and new connections do not come up")
 	}
-	want := n.cfg.Lines
+	s.demand.Note(n.now, s.out())
+	want := s.demand.Connections(n.cfg.Lines)
 	if s.phase == larkrouter.Gone {
 		want = 1
 	}
-	if s.reach.Check(n.now) && !slices.ContainsFunc(s.lines, func(l *line) bool { return !l.up }) {
+	n.spare(s, want)
+	if (len(s.queue) > 0 || s.reach.Check(n.now)) &&
+		!slices.ContainsFunc(s.lines, func(l *line) bool { return !l.up }) { // none that is open takes what waits, or a check
 		want = len(s.lines) + 1
 	}
 	if n.now < s.reach.Retry() {
@@ -201,6 +206,43 @@
 	}
 }
 
+// out is how many set-ups are out there or wait for a connection.
+func (s *server) out() int {
+	n := len(s.queue)
+	for _, l := range s.lines {
+		n += len(l.out)
+	}
+	return n
+}
+
+// spare closes what the server may be about to close itself, and what is open beyond the connections wanted, the newest
+// first, as servers speak of a call on the connection that its set-up came on: one at a time, none with a set-up out, and
+// none that was of use within the last second, as more may be on its way.
+func (n *Node) spare(s *server, want int) {
+	for _, l := range slices.Clone(s.lines) {
+		if l.up && len(l.out) == 0 && n.stale(l) {
+			n.drop(l)
+		}
+	}
+	if len(s.lines) <= want || len(s.queue) > 0 {
+		return
+	}
+	for _, l := range slices.Backward(s.lines) {
+		if l.up && len(l.out) == 0 {
+			if n.now-l.used >= time.Second {
+				n.drop(l)
+			}
+			return
+		}
+	}
+}
+
+// stale says whether the server may be about to close a connection as idle: a set-up written on it could cross the close.
+func (n *Node) stale(l *line) bool {
+	idle := n.cfg.Figures.ConnIdle
+	return idle > 0 && n.now-l.used >= idle-idle/8
+}
+
 // dead ends the calls that stood at a server whose process has died or whose machine has vanished. Should only the way
 // there be cut, they still stand, and their releases are owed.
 func (n *Node) dead(s *server, cause string, owed bool) {
@@ -265,17 +307,9 @@
 	if l == nil {
 		return
 	}
-	l.up = true
+	l.up, l.used = true, n.now
 	s := l.srv
 	s.reach.Open(n.now)
-	if len(s.lines) > n.cfg.Lines { // it was a check: the oldest that carries nothing has done its service
-		for _, o := range s.lines {
-			if o.up && o != l && len(o.out) == 0 {
-				n.drop(o)
-				break
-			}
-		}
-	}
 	for _, id := range s.owed {
 		n.write(l.conn, bare(trunk.Release, id, trunk.CauseNormal))
 	}
@@ -331,6 +365,7 @@
 func (n *Node) TrunkHeard(now time.Duration, c Conn) {
 	n.clock(now)
 	if l := n.lines[c]; l != nil {
+		l.used = n.now
 		l.srv.reach.Heard(n.now)
 	}
 }
@@ -486,8 +521,9 @@
 		return
 	}
 	k.out = at
-	if l := s.pick(k); l != nil {
+	if l := n.pick(s, k); l != nil {
 		n.setUp(at, l)
+		n.tendServer(s)
 		return
 	}
 	s.queue = append(s.queue, at)
@@ -505,9 +541,9 @@
 }
 
 // pick is the open connection with the fewest set-ups out.
-func (s *server) pick(k *call) (best *line) {
+func (n *Node) pick(s *server, k *call) (best *line) {
 	for _, l := range s.lines {
-		if l.fits(k) && (best == nil || len(l.out) < len(best.out)) {
+		if l.fits(k) && !n.stale(l) && (best == nil || len(l.out) < len(best.out)) {
 			best = l
 		}
 	}
@@ -528,7 +564,7 @@
 		return
 	}
 	s.counts.Sent++
-	at.ln, l.out[k.id] = l, at
+	at.ln, l.out[k.id], l.used = l, at, n.now
 	n.heap.Set(&at.timer, at.expires, func() { n.giveUp(at, larkrouter.TimedOut) })
 	n.write(l.conn, b)
 }
--- a/internal/edge/reach/reach.go
+++ b/internal/edge/reach/reach.go
@@ -10,6 +10,32 @@
 
 import "time"
 
+// spareFor is how long a peak of set-ups keeps its connections open ahead.
+const spareFor = 10 * time.Second
+
+// Demand is how many set-ups a node has had out at once at a server lately, those that wait for a connection included: so
+// many connections are worth having open, and one at the least. Most nodes of a large fleet need no more than that one,
+// and connections at a server are shared by all of them.
+type Demand struct {
+	peak, before int // in this span and the one before
+	span         time.Duration
+}
+
+// Note takes how many are out now.
+func (d *Demand) Note(now time.Duration, out int) {
+	if now-d.span >= spareFor {
+		d.before = d.peak
+		if now-d.span >= 2*spareFor {
+			d.before = 0
+		}
+		d.peak, d.span = 0, now
+	}
+	d.peak = max(d.peak, out)
+}
+
+// Connections is how many are worth having, of most.
+func (d *Demand) Connections(most int) int { return min(most, max(1, d.peak, d.before)) }
+
 // Settings of the judgement. Zero values stand for the defaults.
 type Settings struct {
 	Timeout     time.Duration // a connection that is not up by then never comes up; 500 ms
--- a/internal/edge/reach/reach_test.go
+++ b/internal/edge/reach/reach_test.go
@@ -72,3 +72,18 @@
 		t.Error("a connection is to be checked after 1.6 s of silence, and is not mute before tries have failed")
 	}
 }
+
+// A connection for each set-up out at once lately, one at the least.
+func TestDemand(t *testing.T) {
+	var d Demand
+	for _, c := range []struct {
+		at   time.Duration
+		out  int
+		want int
+	}{{0, 0, 1}, {time.Second, 3, 3}, {2 * time.Second, 9, 4}, {9 * time.Second, 0, 4}, {11 * time.Second, 2, 4}, {21 * time.Second, 0, 2},
+		{42 * time.Second, 0, 1}} {
+		if d.Note(c.at, c.out); d.Connections(4) != c.want {
+			t.Errorf("at %v with %d out: %d, %d is right", c.at, c.out, d.Connections(4), c.want)
+		}
+	}
+}
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -37,7 +37,8 @@
 // Figures are the settings that the edge itself needs, beside the module's.
 type Figures struct {
 	ConnectTimeout time.Duration
-	OpenCap        int // set-ups open at once
+	ConnIdle       time.Duration // call servers close connections idle for so long; 0: not told
+	OpenCap        int           // set-ups open at once
 	DrainGrace     time.Duration
 	Zones          []string
 	Kinds          []string
@@ -65,6 +66,7 @@
 type figures struct {
 	Allowed struct {
 		ConnectTimeoutUs int64 `json:"connectTimeoutUs"`
+		ConnIdleUs       int64 `json:"connIdleUs"`
 		OpenCap          int   `json:"openCap"`
 	} `json:"allowed"`
 	Extra struct {
@@ -117,10 +119,10 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	us := func(v int64) time.Duration { return time.Duration(v) * time.Microsecond }
-	c.Figures = Figures{ConnectTimeout: us(g.Allowed.ConnectTimeoutUs), OpenCap: g.Allowed.OpenCap,
+	c.Figures = Figures{ConnectTimeout: us(g.Allowed.ConnectTimeoutUs), ConnIdle: us(g.Allowed.ConnIdleUs), OpenCap: g.Allowed.OpenCap,
 		DrainGrace: us(g.Rules.DrainGraceUs), Zones: g.Zones, Kinds: g.HostTypes, Widths: g.Extra.Widths}
-	if c.Figures.ConnectTimeout < 0 || c.Figures.OpenCap < 0 || c.Figures.DrainGrace < 0 {
-		return nil, fmt.Errorf("settings: connectTimeoutUs, openCap and drainGraceUs may not be negative")
+	if c.Figures.ConnectTimeout < 0 || c.Figures.ConnIdle < 0 || c.Figures.OpenCap < 0 || c.Figures.DrainGrace < 0 {
+		return nil, fmt.Errorf("settings: connectTimeoutUs, connIdleUs, openCap and drainGraceUs may not be negative")
 	}
 	if c.Figures.ConnectTimeout == 0 {
 		c.Figures.ConnectTimeout = 500 * time.Millisecond
