Edge: a caller that has gone gets nothing set up; a half-written configuration is read again

A caller's end was known only once the reader had handed over all bytes before it and the loop had taken them (socket.go: one read at a time, each waits for the loop), so that on a busy node a set-up could go out for a caller that had left. setUp asks the socket itself now, right before it writes: poll for RDHUP, HUP and ERR, which tell of an end in order and of a reset whatever is unread. A call that waited for a connection, a slot or the release guard is asked about in the same place.

A SIGHUP that met a half-written file kept the old command channel for good (serve.go, reload): the new one was never asked, and what it told counts as told 4 s after the signal. The file is read again each 50 ms for those 4 s.

--- a/internal/edge/access/access_test.go
+++ b/internal/edge/access/access_test.go
@@ -154,6 +154,37 @@
 	}
 }
 
+// A caller that has ended its connection, though the node has not come to read that, gets nothing set up: not as its call
+// comes, and not as one that waited for a connection or for the release guard would go out.
+func TestCallerGoneBeforeItsSetUp(t *testing.T) {
+	cfg := testConfig()
+	gone := false
+	cfg.Gone = func(Conn) bool { return gone }
+	for _, wait := range []string{"none", "connection", "guard"} {
+		gone = wait == "none"
+		r := newRig(t, cfg, "s-1")
+		c := r.caller()
+		switch wait {
+		case "connection":
+			r.n.TrunkClosed(r.now, r.lines[addr("s-1")][0], "reset") // the next one is tried after a moment
+			r.say(c, invite(1, "dest:0;width:1;via:-1"))
+			gone = true
+		case "guard":
+			l := r.setUp(c, 1, "s-1")
+			r.trunk(l, trunk.Release, 1, cause(41))
+			gone = true
+		default:
+			r.say(c, invite(1, "dest:0;width:1;via:-1"))
+		}
+		r.run(2 * time.Second)
+		r.want(wait+": servers", r.got("s-1"), "[]")
+		r.want(wait+": the caller", r.heard(c), "[]")
+		if n := len(r.n.calls) + r.n.open; n != 0 || r.n.Totals.Dropped != 1 {
+			t.Errorf("%s: %d calls are kept, %d dropped", wait, n, r.n.Totals.Dropped)
+		}
+	}
+}
+
 // A CANCEL that crosses the answer ends a call that stands, on both sides; a BYE that crosses the server's release is
 // answered, and nothing else happens.
 func TestCrossings(t *testing.T) {
--- a/internal/edge/access/node.go
+++ b/internal/edge/access/node.go
@@ -58,6 +58,10 @@
 	Callers int   // connections from callers at the most
 	Lines   int   // connections to each call server; at most four get its state
 	Reach   reach.Settings
+
+	// Gone says whether a caller has ended its connection, though that was not told yet: it is asked right before a set-up
+	// is written. Nil: never.
+	Gone func(Conn) bool
 }
 
 // Node is an access node.
--- a/internal/edge/access/servers.go
+++ b/internal/edge/access/servers.go
@@ -552,6 +552,11 @@
 
 func (n *Node) setUp(at *attempt, l *line) {
 	k, s := at.call, at.srv
+	if n.cfg.Gone != nil && n.cfg.Gone(k.conn) { // its end waits behind bytes that are not read, or behind a busy loop
+		n.Totals.Dropped++
+		n.withdraw(k)
+		return
+	}
 	s.queue = slices.DeleteFunc(s.queue, func(o *attempt) bool { return o == at })
 	m := trunk.Message{Type: trunk.SetUp, Call: k.id, Params: []trunk.Param{
 		{Code: trunk.Class, Value: []byte(k.setUp.Class)},
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -36,6 +36,13 @@
 	stopMost   = 3 * time.Second
 )
 
+// After a SIGHUP, how often and how long a configuration that can't be taken is read again: what the new channel has to
+// tell counts as told 4 s after the signal.
+const (
+	rereadEvery = 50 * time.Millisecond
+	rereadFor   = 4 * time.Second
+)
+
 type eventKind uint8
 
 const (
@@ -121,6 +128,9 @@
 	unread  context.CancelFunc // ends the command channel's goroutine
 	quit    chan struct{}      // closed when that has ended
 	meter   meter
+
+	reread      <-chan time.Time // when a configuration that could not be taken is read again
+	rereadUntil time.Duration
 }
 
 // Serve runs the access node until it is told to stop. It returns nil once all that was taken is answered.
@@ -137,7 +147,7 @@
 	callers, all := admit.Shares(descriptors)
 	sh.most = int64(all)
 	node, err := access.New(access.Config{Module: cfg.Module, Figures: cfg.Figures, Seed: cfg.Seed, Callers: callers, Lines: 4,
-		Wall: h.begin.Add(-zero).UnixMilli()}, h.clock())
+		Wall: h.begin.Add(-zero).UnixMilli(), Gone: sh.gone}, h.clock())
 	if err != nil {
 		return err
 	}
@@ -167,6 +177,12 @@
 	return nil
 }
 
+// gone says whether a caller has ended its connection.
+func (sh *shell) gone(c access.Conn) bool {
+	s := sh.conns[c]
+	return s != nil && s.gone()
+}
+
 // limit holds the process to what the platform lets it have.
 func limit(l settings.Limits) {
 	if l.Cores > 0 && os.Getenv("GOMAXPROCS") == "" {
@@ -187,14 +203,19 @@
 	}(sh.channel, sh.cursor, sh.quit)
 }
 
-// reload takes the command channel's address from the configuration as it is now. Calls go on untouched.
+// reload takes the command channel's address from the configuration as it is now. Calls go on untouched. A file that can't
+// be taken may be half written: it is read again until it can be, for as long as news of the old channel may be late.
 func (sh *shell) reload() {
 	cfg, err := Load(sh.path)
 	if err != nil {
 		sh.log.Error("reload: the configuration before stays", "cause", err.Error())
+		if now := sh.clock(); now < sh.rereadUntil {
+			sh.reread = time.After(rereadEvery)
+		}
 		return
 	}
 	sh.log.Info("reload", "channel", cfg.Channel, "cursor", sh.told)
+	sh.reread = nil
 	sh.channel = cfg.Channel
 	sh.unread()
 	before := sh.quit
@@ -255,8 +276,12 @@
 		case <-tick:
 		case <-lines.C:
 			sh.line()
+		case <-sh.reread:
+			sh.reread = nil
+			sh.reload()
 		case s := <-signals:
 			if s == syscall.SIGHUP {
+				sh.rereadUntil = sh.clock() + rereadFor
 				sh.reload()
 			} else if stopping == 0 {
 				stopping = sh.clock()
--- a/internal/edge/socket.go
+++ b/internal/edge/socket.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"larkrouter/internal/edge/access"
 	"larkrouter/internal/edge/caller"
 	"larkrouter/internal/edge/trunk"
@@ -71,6 +73,17 @@
 	return err
 }
 
+// gone says whether the other side has ended the connection, in order or with a reset, however many bytes of it are unread.
+func (s *socket) gone() bool {
+	var ended bool
+	err := s.raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(p, 0)
+		ended = err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return err == nil && ended // where it is closed here, the node has been told
+}
+
 // shut ends a connection so that the other side can still read what was written: an end of file goes out, what still
 // comes is thrown away for a moment by the reading goroutine, which closes it.
 func (s *socket) shut(atOnce bool) {
