Edge settings: no classes, nameless or twice-named ones and impossible deadlines are refused

Seen, by starting the program on 37 faulty configurations: settings that were null, empty or without classes, a class without a name, two of one name, a deadline missing or so long that it overflows the clock were all served, and every call would have been turned away with 400, or taken for the other class. They are refused at the start now in one line that says which and what would be right (internal/edge/settings); the other faults were refused before.

--- a/internal/edge/day_test.go
+++ b/internal/edge/day_test.go
@@ -254,6 +254,10 @@
 		{`"name"`, `name`, "byte"},
 		{`"channel":"`, `"channel":"x`, "channel"}, {`"sockets":1024`, `"sockets":-1`, "limits"},
 		{`"repeat":"read_like"`, `"repeat":"often"`, "repeat"},
+		{`"classes":[{`, `"classes":[],"others":[{`, "classes: none"}, {`"name":"voice"`, `"label":"voice"`, "no name"},
+		{`"lateShare":0.25}`, `"lateShare":0.25},{"name":"voice","deadlineUs":1,"repeat":"read_like"}`, "both named"},
+		{`"deadlineUs":2000000`, `"deadlineUs":null`, "deadlineUs"}, {`"deadlineUs":2000000`, `"deadlineUs":4611686018427387904`, "deadlineUs"},
+		{`"settings":{`, `"settings":null,"others":{`, "classes: none"},
 		{`"connectTimeoutUs":500000`, `"connectTimeoutUs":-5`, "connectTimeoutUs"}} {
 		if err := os.WriteFile(st.path, []byte(strings.Replace(string(good), c[0], c[1], 1)), 0o600); err != nil {
 			t.Fatal(err)
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -114,6 +114,9 @@
 	if err := c.Module.Check(); err != nil {
 		return nil, err
 	}
+	if err := checkClasses(c.Module.Classes); err != nil {
+		return nil, err
+	}
 	var g figures
 	if err := json.Unmarshal(f.Settings, &g); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -132,3 +135,28 @@
 	}
 	return c, nil
 }
+
+// longestDeadline is more than any caller waits, and far from what overflows a clock.
+const longestDeadline = 24 * time.Hour
+
+// checkClasses refuses what would have the node turn every call away, or take one class for another, once it serves.
+func checkClasses(classes []larkrouter.Class) error {
+	if len(classes) == 0 {
+		return errors.New("settings: classes: none, at least one is right: a call names its class")
+	}
+	named := map[string]int{}
+	for i, c := range classes {
+		if c.Name == "" {
+			return fmt.Errorf("settings: class %d has no name, the one that callers send is right", i)
+		}
+		if j, twice := named[c.Name]; twice {
+			return fmt.Errorf("settings: classes %d and %d are both named %q, a name each is right", j, i, c.Name)
+		}
+		named[c.Name] = i
+		if c.Deadline <= 0 || c.Deadline > longestDeadline {
+			return fmt.Errorf("settings: class %d (%s): deadlineUs makes %v, more than 0 and at most %v is right", i, c.Name, c.Deadline,
+				longestDeadline)
+		}
+	}
+	return nil
+}
