Edge: connections to call servers are bounded in all by their share of the descriptors

Need: with four connections to each of 24 servers and 256 descriptors, callers' 55 in 100 and the servers' 96 came to more than the 85 in 100 at which accept() closes new callers unseen, found by reading (admit.Shares, serve.go accept). Beyond one to each server, connections now stay within what callers leave (Config.Trunks); in the test a burst at two servers makes 3, not 8.

--- a/internal/edge/access/access_test.go
+++ b/internal/edge/access/access_test.go
@@ -544,6 +544,14 @@
 		t.Errorf("a minute later %d are open, the first one closed %v", open(), r.closed[l])
 	}
 
+	cfg.Trunks = 3 // of the descriptors, however great the burst
+	r = newRig(t, cfg, "s-1", "s-2")
+	for _, srv := range r.n.order {
+		srv.demand.Note(r.now, 9)
+	}
+	r.run(500 * ms)
+	r.want("connections to call servers", len(r.n.lines), "3")
+
 	cfg.Figures.ConnIdle = 1600 * ms
 	r = newRig(t, cfg, "s-1")
 	r.run(1200 * ms)
--- a/internal/edge/access/node.go
+++ b/internal/edge/access/node.go
@@ -7,6 +7,8 @@
 package access
 
 import (
+	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -57,6 +59,7 @@
 	Wall    int64 // Unix milliseconds at the clock's zero
 	Callers int   // connections from callers at the most
 	Lines   int   // connections to each call server; at most four get its state
+	Trunks  int   // connections to call servers in all, but for one to each and checks; 0: no bound
 	Reach   reach.Settings
 
 	// Gone says whether a caller has ended its connection, though that was not told yet: it is asked right before a set-up
@@ -108,7 +111,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg.Lines, cfg.Callers = max(cfg.Lines, 1), max(cfg.Callers, 1)
+	cfg.Lines, cfg.Callers, cfg.Trunks = max(cfg.Lines, 1), max(cfg.Callers, 1), cmp.Or(max(cfg.Trunks, 0), math.MaxInt)
 	cfg.Reach.Timeout = cfg.Figures.ConnectTimeout
 	n := &Node{cfg: cfg, module: module, classes: map[string]int{}, calls: map[uint64]*call{}, numbers: map[uint64]*call{},
 		callers: map[Conn]*caller{}, servers: map[string]*server{}, byNum: map[uint32]*server{}, lines: map[Conn]*line{},
--- a/internal/edge/access/servers.go
+++ b/internal/edge/access/servers.go
@@ -189,6 +189,7 @@
 	if s.phase == larkrouter.Gone {
 		want = 1
 	}
+	want = max(1, min(want, len(s.lines)+max(0, n.cfg.Trunks-len(n.lines)))) // callers and the command channel are to get theirs
 	n.spare(s, want)
 	if (len(s.queue) > 0 || s.reach.Check(n.now)) &&
 		!slices.ContainsFunc(s.lines, func(l *line) bool { return !l.up }) { // none that is open takes what waits, or a check
