--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -146,8 +146,8 @@
 	}
 	callers, all := admit.Shares(descriptors)
 	sh.most = int64(all)
-	node, err := access.New(access.Config{Module: cfg.Module, Figures: cfg.Figures, Seed: cfg.Seed, Callers: callers, Lines: 4, Trunks: all - callers,
-		Wall: h.begin.Add(-zero).UnixMilli(), Gone: sh.gone}, h.clock())
+	node, err := access.New(access.Config{Module: cfg.Module, Figures: cfg.Figures, Seed: cfg.Seed, Callers: callers, Lines: 4,
+		Trunks: all - callers, Wall: h.begin.Add(-zero).UnixMilli(), Gone: sh.gone}, h.clock())
 	if err != nil {
 		return err
 	}
