Edge: deadline, CANCEL and list crossings forced on sockets

Three more crossings of the acceptance: a set-up unanswered at its deadline and its late answer; an answer that crosses the CANCEL; a server removed and named again in one batch, and one that drains. No fault found.

--- a/internal/edge/crossing_test.go
+++ b/internal/edge/crossing_test.go
@@ -292,6 +292,95 @@
 	st.stop()
 }
 
+// A set-up that is not answered ends with one refusal by the call's deadline and a release, and its late answer with nothing.
+// An answer that crosses the CANCEL leaves nothing standing, whichever the node reads first.
+func TestDeadlineCrossingsOnSockets(t *testing.T) {
+	st, _, srv := scriptedStage(t)
+	c := st.caller()
+	begin := time.Now()
+	c.say(strings.Replace(invite(1), "X-Deadline: 2000", "X-Deadline: 400", 1))
+	srv.setUp()
+	what, took := c.heard(), time.Since(begin)
+	if what != "503 INVITE" && what != "504 INVITE" || took < 300*time.Millisecond {
+		t.Errorf("%s after %v of 400 ms, one refusal is right", what, took)
+	}
+	if m := srv.got(); m == nil || m.Type != trunk.Release || m.Call != 1 {
+		t.Fatalf("the server got %+v, the release is right", m)
+	}
+	srv.answer(1)
+	c.say(options(2))
+	want(t, "after a late answer", c.heard(), "200 OPTIONS")
+	st.stop()
+
+	st, _, srv = scriptedStage(t)
+	c = st.caller()
+	c.say(invite(1))
+	srv.setUp()
+	wrote := make(chan error, 1)
+	go func() {
+		_, err := srv.Write(answerOf(1))
+		wrote <- err
+	}()
+	c.say(request("CANCEL", 1, ""))
+	if err := <-wrote; err != nil {
+		t.Fatal(err)
+	}
+	if m := srv.got(); m == nil || m.Type != trunk.Release || m.Call != 1 {
+		t.Fatalf("answer and CANCEL: the server got %+v, the release is right", m)
+	}
+	c.say(options(2))
+	heard := []string{c.heard()}
+	for heard[len(heard)-1] != "200 OPTIONS" {
+		heard = append(heard, c.heard())
+	}
+	if text := fmt.Sprint(heard); text != "[200 OPTIONS]" && text != "[200 INVITE BYE 200 OPTIONS]" {
+		t.Errorf("answer and CANCEL: the caller heard %s", text)
+	}
+	st.stop()
+}
+
+// A server that the list removes and names again in one batch goes on being used; one that drains gets nothing new.
+func TestListCrossingsOnSockets(t *testing.T) {
+	st, x, srvX := scriptedStage(t)
+	other := func() scripted {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		return scripted{t, l.(*net.TCPListener)}
+	}
+	y, z := other(), other()
+	c := st.caller()
+	member := func(s scripted, id string, cell int, phase string) string {
+		return standin.Member(id, s.Addr().String(), cell, phase)
+	}
+	st.feed.Tell(false, nil, member(x, "s-x", 0, "removed"), member(x, "s-x", 0, "up"), member(y, "s-y", 1, "up"))
+	srvY := y.accept() // the list has been taken
+	c.say(invite(1))
+	srvX.answer(srvX.setUp().Call)
+	want(t, "removed and named again", c.heard(), "200 INVITE")
+
+	st.feed.Tell(false, nil, member(x, "s-x", 0, "draining"), member(z, "s-z", 2, "up"))
+	srvZ := z.accept()
+	for _, s := range []*peer{srvY, srvZ} {
+		go func() {
+			for m := s.got(); m != nil; m = s.got() {
+				if m.Type == trunk.SetUp {
+					_, _ = s.Write(answerOf(m.Call))
+				}
+			}
+		}()
+	}
+	c.say(invite(2))
+	want(t, "with its server draining", c.heard(), "200 INVITE")
+	_ = srvX.SetReadDeadline(time.Now().Add(20 * time.Millisecond)) // what it was sent is there by now
+	if m := srvX.got(); m != nil {
+		t.Errorf("the draining server got %+v", m)
+	}
+	st.stop()
+}
+
 // SIGTERM with a connection accepted and nothing read of it, with a set-up out, with a retry that waits for the guard, and
 // with a call that comes on a new connection after it; twice, and a SIGHUP besides. Each gets one answer, those that it
 // had taken the server's, and the node ends by itself.
