Edge: when a connection is stale or spare is judged in reach; one way to listen in tests

Read once more: the two times by which a connection to a call server is closed (an eighth before the idle time, a second without use) stood in access, which holds no tuned value; they are reach.Stale and reach.Spare now, as they were.

--- a/internal/edge/access/servers.go
+++ b/internal/edge/access/servers.go
@@ -230,7 +230,7 @@
 	}
 	for _, l := range slices.Backward(s.lines) {
 		if l.up && len(l.out) == 0 {
-			if n.now-l.used >= time.Second {
+			if reach.Spare(n.now - l.used) {
 				n.drop(l)
 			}
 			return
@@ -238,11 +238,7 @@
 	}
 }
 
-// stale says whether the server may be about to close a connection as idle: a set-up written on it could cross the close.
-func (n *Node) stale(l *line) bool {
-	idle := n.cfg.Figures.ConnIdle
-	return idle > 0 && n.now-l.used >= idle-idle/8
-}
+func (n *Node) stale(l *line) bool { return reach.Stale(n.now-l.used, n.cfg.Figures.ConnIdle) }
 
 // dead ends the calls that stood at a server whose process has died or whose machine has vanished. Should only the way
 // there be cut, they still stand, and their releases are owed.
--- a/internal/edge/crossing_test.go
+++ b/internal/edge/crossing_test.go
@@ -128,6 +128,16 @@
 	*net.TCPListener
 }
 
+func listen(t *testing.T) scripted {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return scripted{t, l.(*net.TCPListener)}
+}
+
 func (s scripted) accept() *peer {
 	s.t.Helper()
 	_ = s.SetDeadline(time.Now().Add(10 * time.Second))
@@ -141,14 +151,8 @@
 // scriptedStage is a node that knows one scripted server, and has a connection open to it.
 func scriptedStage(t *testing.T) (*stage, scripted, *peer) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	s := scripted{t, l.(*net.TCPListener)}
-	st := newStage(t, 0)
-	st.known = append(st.known, st.feed.Tell(false, nil, standin.Member("s-x", l.Addr().String(), 0, "up")))
+	s, st := listen(t), newStage(t, 0)
+	st.known = append(st.known, st.feed.Tell(false, nil, standin.Member("s-x", s.Addr().String(), 0, "up")))
 	return st, s, s.accept()
 }
 
@@ -342,15 +346,7 @@
 // A server that the list removes and names again in one batch goes on being used; one that drains gets nothing new.
 func TestListCrossingsOnSockets(t *testing.T) {
 	st, x, srvX := scriptedStage(t)
-	other := func() scripted {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { l.Close() })
-		return scripted{t, l.(*net.TCPListener)}
-	}
-	y, z := other(), other()
+	y, z := listen(t), listen(t)
 	c := st.caller()
 	member := func(s scripted, id string, cell int, phase string) string {
 		return standin.Member(id, s.Addr().String(), cell, phase)
@@ -462,27 +458,16 @@
 // A watch that is silent from its first byte, one that is silent in the middle of its first event, and one that tells it:
 // each is left within some seconds, the cursor stays, and the event counts once it is whole.
 func TestSilentWatchOnSockets(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	feed := scripted{t, l.(*net.TCPListener)}
-	st := newStage(t, 1)
+	feed, other, st := listen(t), listen(t), newStage(t, 1)
 	text, err := os.ReadFile(st.path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	moved := strings.Replace(string(text), st.feed.Addr(), l.Addr().String(), 1)
+	moved := strings.Replace(string(text), st.feed.Addr(), feed.Addr().String(), 1)
 	if err := os.WriteFile(st.path, []byte(moved), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	st.signals <- syscall.SIGHUP
-	other, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer other.Close()
 	event := fmt.Sprintf("id: 2\ndata: {\"cursor\":2,\"nodes\":{\"revision\":2,\"complete\":false,\"members\":[%s]}}\n\n",
 		standin.Member("s-new", other.Addr().String(), 1, "up"))
 	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
@@ -498,7 +483,7 @@
 			want(t, "a silent watch", c.ended(), "true")
 		}
 	}
-	scripted{t, other.(*net.TCPListener)}.accept() // the server that the event named
+	other.accept() // the server that the event named
 	st.stop()
 }
 
--- a/internal/edge/kill_test.go
+++ b/internal/edge/kill_test.go
@@ -34,12 +34,7 @@
 // address: the server tells that end on the connection that the new process opens, before the callers have named their
 // calls, and both callers are told the end of their own call, once.
 func TestKilledWithCallsStanding(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	srv := scripted{t, l.(*net.TCPListener)}
+	srv := listen(t)
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -50,7 +45,7 @@
 		t.Fatal(err)
 	}
 	defer st.feed.Close()
-	st.known = append(st.known, st.feed.Tell(true, nil, standin.Member("s-x", l.Addr().String(), 0, "up")))
+	st.known = append(st.known, st.feed.Tell(true, nil, standin.Member("s-x", srv.Addr().String(), 0, "up")))
 	st.configure()
 	run := func() (kill func()) {
 		cmd := exec.Command(os.Args[0])
--- a/internal/edge/reach/reach.go
+++ b/internal/edge/reach/reach.go
@@ -36,6 +36,13 @@
 // Connections is how many are worth having, of most.
 func (d *Demand) Connections(most int) int { return min(most, max(1, d.peak, d.before)) }
 
+// Stale says whether a server may be about to close a connection that was of no use for a while, where it closes those idle
+// for so long (0: not told): a set-up written on it could cross the close.
+func Stale(unused, idle time.Duration) bool { return idle > 0 && unused >= idle-idle/8 }
+
+// Spare says whether a connection beyond those wanted may be closed: not as long as more may be on its way on it.
+func Spare(unused time.Duration) bool { return unused >= time.Second }
+
 // Settings of the judgement. Zero values stand for the defaults.
 type Settings struct {
 	Timeout     time.Duration // a connection that is not up by then never comes up; 500 ms
