--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,4 +1,4 @@
-// Command 3 plays case 3: a call server is slow while a call at another one ends.
+// Command 3 plays case 3: the command channel is slow to answer.
 package main
 
 import (
@@ -9,10 +9,9 @@
 )
 
 const (
-	hold     = 9 * time.Second         // of a call; meanHoldUs is 9.2 s
-	slowWait = 2300 * time.Millisecond // wait at the slow processor; it turns set-ups away from 2.4 to 3.6 s on
-	slowFor  = 16 * time.Second        // the site's trouble "slow" lasts 15 to 32 s
-	rounds   = 3
+	slowness   = 2500 * time.Millisecond // from a request to the first byte of its answer
+	toldLatest = 4 * time.Second         // what the channel has to tell counts as told by then, at the latest
+	drainGrace = time.Second             // drainGraceUs of the settings
 )
 
 func main() { platform.Play(play) }
@@ -23,43 +22,34 @@
 	if err != nil {
 		return none, err
 	}
-	for _, s := range d.Servers {
-		s.Set(4*time.Millisecond, hold)
+	if c.Trouble {
+		d.Channel.Delay = func() time.Duration { return slowness }
 	}
 	if err := d.StartNode(); err != nil {
 		return none, err
 	}
-	call := uint64(0x9b1f0001)
-	for range rounds {
-		// A call stands at a sound server, and its caller closes the idle connection after 4 s.
-		if _, err := d.Place(call, 0); err != nil {
-			return none, err
+	stop := time.Now().Add(30 * time.Second)
+	go func() {
+		for call := uint64(0x9b1f0001); time.Now().Before(stop); call++ {
+			if _, err := d.Place(call, int(call%3)); err != nil {
+				c.Add("caller", "cannot place %016x: %v", call, err)
+			}
+			time.Sleep(200 * time.Millisecond)
 		}
-		time.Sleep(hold - 200*time.Millisecond)
-		if c.Trouble {
-			d.Servers[2].Set(slowWait, hold)
-			c.Add(d.Servers[2].ID, "is slow from now on")
-		}
-		// Shortly before the end of that call another caller calls, whose server of first choice is the slow one.
-		if _, err := d.Place(call+1, 2); err != nil {
-			return none, err
-		}
-		time.Sleep(slowFor) // the second call ends too, and its connection is closed
-		if c.Trouble {
-			d.Servers[2].Set(4*time.Millisecond, hold)
-			c.Add(d.Servers[2].ID, "is sound again")
-		}
-		time.Sleep(500 * time.Millisecond)
-		call += 2
-	}
-	late, checked := d.LateReleases()
-	for _, line := range late {
-		c.Add("check", "%s", line)
-	}
-	if checked == 0 {
-		return none, fmt.Errorf("no call that stood has ended")
+	}()
+	time.Sleep(10 * time.Second)
+	draining := d.Servers[2]
+	published := c.Now()
+	d.Events.Publish(false, draining.Member("draining", 0))
+	c.Add("channel", "published: %s drains", draining.ID)
+	time.Sleep(time.Until(stop))
+	limit := published + toldLatest + drainGrace + platform.Slack
+	before, _ := draining.SetUpsAfter(0)
+	count, last := draining.SetUpsAfter(limit)
+	if before == 0 {
+		return none, fmt.Errorf("no set-up reached %s", draining.ID)
 	}
-	return platform.Verdict{Broken: len(late) > 0,
-		Text: fmt.Sprintf("of %d calls that stood and are over, %d were released towards their callers too late or not at all", checked,
-			len(late))}, nil
+	return platform.Verdict{Broken: count > 0,
+		Text: fmt.Sprintf("%d set-ups reached %s more than %v after its drain was in the channel, the last one %.1f s after it", count,
+			draining.ID, limit-published, max(0, last-published).Seconds())}, nil
 }
--- a/review/platform/node.go
+++ b/review/platform/node.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -144,12 +145,15 @@
 	}
 }
 
-// ResidentMB returns the resident memory of the process in MB.
-func (n *Node) ResidentMB() int {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", n.cmd.Process.Pid))
-	var size, resident int
-	if err == nil {
-		_, _ = fmt.Sscan(string(text), &size, &resident)
+// AnonymousMB returns the resident memory of the process in MB that belongs to no file: neither the program's own pages nor
+// those of libraries count.
+func (n *Node) AnonymousMB() int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.cmd.Process.Pid))
+	if err != nil {
+		return 0
 	}
-	return resident * os.Getpagesize() >> 20
+	_, rest, _ := strings.Cut(string(text), "RssAnon:")
+	var kilobytes int
+	_, _ = fmt.Sscan(rest, &kilobytes)
+	return kilobytes >> 10
 }
