review: calls named after a restart stand for good once their server is new

In its place: the access node restarts as planned, callers name their calls with `at`, and the call server of three of them is lost for 5 s and returns with a new start time. The node has sent that server nothing since its restart, so the new start ends nothing, and the callers are never told. The stand-in call server can be lost and return; what no case uses any more is gone from the stand-ins.

--- a/review/platform/caller.go
+++ b/review/platform/caller.go
@@ -27,7 +27,6 @@
 	rec  *Record
 	mu   sync.Mutex
 	got  map[string][]Received
-	open map[*CallerConn]bool
 	used []*CallerConn // all connections so far
 }
 
@@ -50,7 +49,7 @@
 
 // NewCallers returns callers of the node at the address.
 func NewCallers(node string, rec *Record) *Callers {
-	return &Callers{Node: node, rec: rec, got: map[string][]Received{}, open: map[*CallerConn]bool{}}
+	return &Callers{Node: node, rec: rec, got: map[string][]Received{}}
 }
 
 // Open opens a connection and reads from it until it ends.
@@ -61,20 +60,13 @@
 	}
 	c := &CallerConn{conn: conn, owner: cs, name: conn.LocalAddr().String(), opened: cs.rec.Now(), Closed: make(chan struct{})}
 	cs.mu.Lock()
-	cs.open[c], cs.used = true, append(cs.used, c)
+	cs.used = append(cs.used, c)
 	cs.mu.Unlock()
 	cs.rec.Add("caller", "connection %s is open", c.name)
 	go c.read()
 	return c, nil
 }
 
-// OpenConns returns how many connections are open.
-func (cs *Callers) OpenConns() int {
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	return len(cs.open)
-}
-
 // Close closes the connection from the callers' side.
 func (c *CallerConn) Close() {
 	c.owner.mu.Lock()
@@ -123,7 +115,6 @@
 		if err != nil {
 			c.Err = err
 			c.owner.mu.Lock()
-			delete(c.owner.open, c)
 			if c.ended == 0 {
 				c.ended = c.owner.rec.Now()
 			}
--- a/review/platform/channel.go
+++ b/review/platform/channel.go
@@ -67,12 +67,9 @@
 // Channel is one address of the command channel.
 type Channel struct {
 	Name   string
-	Delay  func() time.Duration // time from a request to the first byte of its answer; nil: none
 	rec    *Record
 	events *Events
 	ln     net.Listener
-	server *http.Server
-	closed chan struct{}
 }
 
 // NewChannel starts a command channel on a free port.
@@ -81,37 +78,19 @@
 	if err != nil {
 		return nil, err
 	}
-	ch := &Channel{Name: name, rec: rec, events: events, ln: ln, closed: make(chan struct{})}
+	ch := &Channel{Name: name, rec: rec, events: events, ln: ln}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /cmd/next", ch.serve)
-	ch.server = &http.Server{Handler: mux}
-	go func() { _ = ch.server.Serve(ln) }()
+	go func() { _ = http.Serve(ln, mux) }()
 	return ch, nil
 }
 
 // Addr returns the channel's address.
 func (ch *Channel) Addr() string { return ch.ln.Addr().String() }
 
-// StopAccepting ends the listener; Close also ends the open connections.
-func (ch *Channel) StopAccepting() { ch.ln.Close() }
-
-// Close ends the listener and the open connections.
-func (ch *Channel) Close() {
-	close(ch.closed)
-	ch.server.Close()
-}
-
 func (ch *Channel) serve(w http.ResponseWriter, r *http.Request) {
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-ID"))
 	ch.rec.Add(ch.Name, "asked from event %d on, by %s", last, r.RemoteAddr)
-	if ch.Delay != nil {
-		select {
-		case <-time.After(ch.Delay()):
-		case <-r.Context().Done():
-			ch.rec.Add(ch.Name, "the node closed its request %s before its answer", r.RemoteAddr)
-			return
-		}
-	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	out := http.NewResponseController(w)
 	fmt.Fprint(w, ": here\n\n")
@@ -134,8 +113,6 @@
 			fmt.Fprint(w, ": here\n\n")
 		case <-r.Context().Done():
 			return
-		case <-ch.closed:
-			return
 		}
 	}
 }
--- a/review/platform/deployment.go
+++ b/review/platform/deployment.go
@@ -143,16 +143,6 @@
 	return late, checked
 }
 
-// Unanswered returns how many calls have no final answer.
-func (d *Deployment) Unanswered(calls []uint64) (count int) {
-	for _, call := range calls {
-		if _, ok := d.Callers.IsFinal(call); !ok {
-			count++
-		}
-	}
-	return count
-}
-
 // StandingAtServers returns how many calls stand at the call servers.
 func (d *Deployment) StandingAtServers() (count int) {
 	for _, s := range d.Servers {
--- a/review/platform/server.go
+++ b/review/platform/server.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Types and causes of the binary messages.
@@ -28,7 +30,10 @@
 	calls     map[uint64]*serverCall // calls that stand
 	unheard   []uint64               // releases that go out on the next connection too
 	ends      *Ends
-	setUps    []time.Duration // when set-ups came
+	isLost    bool
+	others    int        // lines that calls of other access nodes take
+	toldAt    time.Time  // when the state was last sent
+	dummies   []net.Conn // fill the queue of a lost machine
 	toldLines int
 }
 
@@ -78,10 +83,21 @@
 func (s *Server) accept() {
 	for {
 		conn, err := s.ln.Accept()
+		s.mu.Lock()
+		isLost := s.isLost
 		if err != nil {
-			return
+			s.mu.Unlock()
+			if !isLost {
+				return
+			}
+			time.Sleep(5 * time.Millisecond) // woken up by Lose
+			continue
+		}
+		if isLost {
+			s.dummies = append(s.dummies, conn)
+			s.mu.Unlock()
+			continue
 		}
-		s.mu.Lock()
 		c := &serverConn{Conn: conn, pending: map[uint64]bool{}}
 		s.conns = append(s.conns, c)
 		s.rec.Add(s.ID, "connection %s is open", conn.RemoteAddr())
@@ -99,8 +115,8 @@
 func (s *Server) tellState() {
 	for range time.Tick(time.Second) {
 		s.mu.Lock()
-		if s.toldLines != len(s.calls) {
-			s.toldLines = len(s.calls)
+		if lines := len(s.calls) + s.others; s.toldLines != lines && !s.isLost {
+			s.toldLines, s.toldAt = lines, time.Now()
 			for i, c := range s.conns {
 				if i < 4 {
 					s.writeState(c)
@@ -112,7 +128,7 @@
 }
 
 func (s *Server) writeState(c *serverConn) {
-	s.write(c, typeState, 0, param{19, fmt.Appendf(nil, "free:%d;size:200", 200-len(s.calls))})
+	s.write(c, typeState, 0, param{19, fmt.Appendf(nil, "free:%d;size:200", 200-len(s.calls)-s.others)})
 }
 
 type param struct {
@@ -139,6 +155,11 @@
 	for {
 		n, err := c.Read(buf)
 		s.mu.Lock()
+		for s.isLost { // a lost machine neither reads nor says anything
+			s.mu.Unlock()
+			time.Sleep(5 * time.Millisecond)
+			s.mu.Lock()
+		}
 		if err != nil || !s.isOpen(c) {
 			s.rec.Add(s.ID, "connection %s has ended", c.RemoteAddr())
 			s.drop(c)
@@ -179,7 +200,6 @@
 func (s *Server) handle(c *serverConn, kind byte, call uint64) {
 	switch kind {
 	case typeSetUp:
-		s.setUps = append(s.setUps, s.rec.Now())
 		s.rec.Add(s.ID, "set-up of %016x on %s", call, c.RemoteAddr())
 		c.pending[call] = true
 		hold := s.hold
@@ -198,7 +218,7 @@
 func (s *Server) answer(c *serverConn, call uint64, hold time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !c.pending[call] || !s.isOpen(c) {
+	if s.isLost || !c.pending[call] || !s.isOpen(c) {
 		return // given up in the meantime
 	}
 	delete(c.pending, call)
@@ -232,6 +252,72 @@
 	s.unheard = append(s.unheard, call)
 }
 
+// SetOthers changes how many lines calls of other access nodes take.
+func (s *Server) SetOthers(lines int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.others = lines
+}
+
+// ToldAt returns when the server last sent its state unasked.
+func (s *Server) ToldAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.toldAt
+}
+
+// Lose takes the machine away: open connections stay open and silent, and new ones never come up. Its calls are over.
+func (s *Server) Lose() error {
+	raw, err := s.ln.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.isLost, s.unheard = true, nil
+	s.rec.Add(s.ID, "the machine is lost with %d calls that stood", len(s.calls))
+	s.cutAll()
+	s.mu.Unlock()
+	_ = s.ln.(*net.TCPListener).SetDeadline(time.Now())
+	time.Sleep(10 * time.Millisecond)
+	if err := raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), 0) }); err != nil {
+		return err
+	}
+	for range 8 { // a full queue: the kernel ignores further connections
+		conn, err := net.DialTimeout("tcp", s.Addr, 50*time.Millisecond)
+		if err != nil {
+			return nil
+		}
+		s.mu.Lock()
+		s.dummies = append(s.dummies, conn)
+		s.mu.Unlock()
+	}
+	return fmt.Errorf("%s: connections still come up", s.ID)
+}
+
+// Return starts the machine again, cold, under the same id and address: its old connections are reset.
+func (s *Server) Return() error {
+	listener := s.ln.(*net.TCPListener)
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, conn := range s.dummies {
+		conn.Close()
+	}
+	for _, c := range s.conns {
+		_ = c.Conn.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	s.dummies, s.conns, s.isLost = nil, nil, false
+	s.rec.Add(s.ID, "the machine is back, started anew")
+	if err := raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), unix.SOMAXCONN) }); err != nil {
+		return err
+	}
+	return listener.SetDeadline(time.Time{})
+}
+
 // Die ends the process: its port refuses, its connections are reset, and its calls are cut.
 func (s *Server) Die() {
 	s.ln.Close()
@@ -243,6 +329,11 @@
 		c.Close()
 	}
 	s.conns = nil
+	s.cutAll()
+}
+
+// cutAll ends all calls without a word; the lock is held.
+func (s *Server) cutAll() {
 	for call, standing := range s.calls {
 		standing.timer.Stop()
 		delete(s.calls, call)
@@ -251,18 +342,6 @@
 	}
 }
 
-// SetUpsAfter returns how many set-ups came after a time, and when the last one came.
-func (s *Server) SetUpsAfter(limit time.Duration) (count int, last time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, at := range s.setUps {
-		if at > limit {
-			count, last = count+1, at
-		}
-	}
-	return count, last
-}
-
 // Close ends the server.
 func (s *Server) Close() { s.ln.Close() }
 
