--- a/review/3/main.go
+++ b/review/3/main.go
@@ -10,10 +10,11 @@
 )
 
 const (
-	hold      = 20 * time.Second
-	lostFor   = 5 * time.Second        // "a zone is lost for 5 s (without zones, three in ten call servers)"
-	addNotice = 500 * time.Millisecond // from the return to its entry in the list; add_s is 0.21 to 2.5 s
-	tellsFor  = 100 * time.Millisecond // from the last state of the server to its loss; it tells its state once a second
+	hold      = 9200 * time.Millisecond // of a call; meanHoldUs of its class
+	lostFor   = 5 * time.Second         // "a zone is lost for 5 s (without zones, three in ten call servers)"
+	killAfter = 3700 * time.Millisecond // SIGKILL comes no sooner after SIGTERM: 3 s, as the longest deadline is longer, plus 0.7 s
+	addNotice = 500 * time.Millisecond  // from the return to its entry in the list; add_s is 0.21 to 2.5 s
+	tellsFor  = 100 * time.Millisecond  // from the last state of the server to its loss; it tells its state once a second
 )
 
 func main() { platform.Play(play) }
@@ -46,7 +47,7 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 	d.Node.Signal(syscall.SIGTERM)
-	if !d.Node.WaitEnd(3700 * time.Millisecond) {
+	if !d.Node.WaitEnd(killAfter) {
 		return none, fmt.Errorf("the access node did not end by itself")
 	}
 	if err := d.StartNode(); err != nil {
