edge: standing calls that callers name are limited, the largest connection pays

Cause: adoptCall registered every named call as standing. Only a release by its call server or caller, or the loss of the server, ends a standing call; a server never mentions a call that it does not know. Nothing limited their number. Evidence: the core alone, without sockets, keeps 20,100 of 20,100 named calls.

Change: calls known only from callers are limited to an eighth of the memory limit at 512 bytes each. At the limit the connection that has named the most loses its newest named call and is sent the release at once; closed connections count as one. So no connection with less than an equal share pays, and memory is bounded whatever the client does.

--- a/internal/edge/access/callers.go
+++ b/internal/edge/access/callers.go
@@ -66,10 +66,16 @@
 // closeCaller closes a connection from callers.
 func (n *Node) closeCaller(c *callerConn) {
 	n.Totals.CallerConnsClosed++
-	delete(n.callerConns, c.id)
+	n.removeCallerConn(c)
 	n.effects = append(n.effects, Effect{Kind: EffectClose, Conn: c.id})
 }
 
+// removeCallerConn removes a connection from callers. The calls that stand outlive it.
+func (n *Node) removeCallerConn(c *callerConn) {
+	delete(n.callerConns, c.id)
+	n.adopted.connClosed(c.id)
+}
+
 // CallerClosed handles the end of a connection from callers. Its open calls can no longer be answered and are
 // cancelled.
 func (n *Node) CallerClosed(now time.Duration, conn ConnID) {
@@ -78,7 +84,7 @@
 	if c == nil {
 		return
 	}
-	delete(n.callerConns, conn)
+	n.removeCallerConn(c)
 	for _, rel := range c.unconfirmedReleases { // the connection may have ended before the caller read them
 		if n.now-rel.sentAt < releaseResendWindow {
 			n.sendRelease(rel, nil)
--- a/internal/edge/access/calls.go
+++ b/internal/edge/access/calls.go
@@ -7,6 +7,7 @@
 
 	"larkrouter"
 	codec "larkrouter/internal/edge/caller"
+	"larkrouter/internal/edge/trunk"
 	"larkrouter/internal/sip"
 	"larkrouter/internal/timers"
 )
@@ -28,6 +29,7 @@
 	server          *server       // server of the standing call
 	trunk           ConnID        // trunk on which its set-up was sent
 	standingAttempt int           // ordinal of the attempt that was answered
+	adoptedIn       *adoptedGroup // nil unless the node knows the call only because its caller has named it
 	setUp           *codec.SetUp  // parsed INVITE; nil once the call stands
 }
 
@@ -124,7 +126,12 @@
 		n.markProven(c)
 	}
 	n.timerHeap.Stop(&call.timer)
-	call.isStanding, call.standingSince, call.request, call.setUp = true, n.now, nil, nil
+	call.setStanding(n.now)
+}
+
+// setStanding records that the call stands and drops its request, which a call that stands may outlive by far.
+func (call *callState) setStanding(now time.Duration) {
+	call.isStanding, call.standingSince, call.request, call.setUp = true, now, nil, nil
 }
 
 // removeCall removes a call and remembers that it has ended.
@@ -132,6 +139,12 @@
 	if n.callsByID[call.id] != call {
 		return
 	}
+	n.forgetCall(call)
+	n.ended.add(call.id, endedCall{endedAt: n.now})
+}
+
+// forgetCall removes a call.
+func (n *Node) forgetCall(call *callState) {
 	if !call.isStanding {
 		n.openCallCount--
 		if c := n.callerConns[call.conn]; c != nil {
@@ -142,24 +155,25 @@
 	if call.server != nil {
 		delete(call.server.standing, call)
 	}
+	n.adopted.remove(call)
 	n.timerHeap.Stop(&call.timer)
 	delete(n.callsByID, call.id)
 	delete(n.callsByNumber, call.number)
-	n.ended.add(call.id, endedCall{endedAt: n.now})
 }
 
 // adoptCall registers a call that already stands at a call server, according to its caller. The request gets no
-// answer.
+// answer, but the caller gets a release if the call has ended or if the node does not hold it.
 func (n *Node) adoptCall(c *callerConn, setUp *codec.SetUp, msg *sip.Message, existing *callState) {
 	if existing != nil {
 		if existing.isStanding {
 			existing.conn = c.id
+			n.adopted.moveTo(c.id, existing)
 		}
 		return
 	}
 	n.lastCallNumber++
-	call := &callState{number: n.lastCallNumber, id: setUp.ID, callID: msg.Get("Call-ID"), calledNumber: setUp.Number, conn: c.id,
-		isStanding: true, standingSince: n.now}
+	call := &callState{number: n.lastCallNumber, id: setUp.ID, callID: msg.Get("Call-ID"), calledNumber: setUp.Number, conn: c.id}
+	call.setStanding(n.now)
 	srv := n.servers[setUp.StandingAt]
 	if ended, ok := n.ended.byID[setUp.ID]; ok {
 		n.releaseAtCaller(call, int(cmp.Or(ended.cause, 41)))
@@ -175,6 +189,23 @@
 	call.server = srv
 	n.callsByID[call.id], n.callsByNumber[call.number] = call, call
 	srv.standing[call] = struct{}{}
+	n.adopted.add(call, c.id)
+	n.giveUpExcessCalls(c)
+}
+
+// giveUpExcessCalls gives up adopted calls beyond their limit, after one was named on the given connection. The
+// release of a call goes to the connection that named it last. If that has closed, it goes to the given one. The call
+// server gets no release, so that a client cannot make the node flood it by naming calls that do not exist.
+func (n *Node) giveUpExcessCalls(naming *callerConn) {
+	for call := n.adopted.excessCall(); call != nil; call = n.adopted.excessCall() {
+		n.Totals.AdoptedOverLimit++
+		n.forgetCall(call)
+		to := naming.id
+		if n.callerConns[call.conn] != nil {
+			to = call.conn
+		}
+		n.write(to, codec.Release(call.callID, call.calledNumber, trunk.CauseReset))
+	}
 }
 
 // releaseByCaller ends a standing call that its caller has released.
--- a/internal/edge/access/node.go
+++ b/internal/edge/access/node.go
@@ -65,6 +65,7 @@
 	MaxCallerConns     int   // limit on connections from callers
 	MaxTrunksPerServer int   // limit on trunks to one call server, which sends its state on at most four of them
 	MaxTrunks          int   // limit on all trunks, not counting the first to each server and probes; 0: no limit
+	MaxAdoptedCalls    int   // limit on standing calls known only from their callers; 0: default
 	Reachability       reachability.Settings
 
 	// HasCallerClosed reports whether a caller has closed its connection although CallerClosed has not been
@@ -86,6 +87,7 @@
 	callsByID        map[uint64]*callState // by the caller's id; open and standing calls
 	callsByNumber    map[uint64]*callState // by the module's number; open and standing calls
 	openCallCount    int
+	adopted          *adoptedCalls
 	ended            endedCalls
 	callerConns      map[ConnID]*callerConn
 	pendingReleases  []callerRelease // releases for callers, while no suitable caller connection is open
@@ -110,6 +112,7 @@
 	Cancelled            uint64 `json:"Withdrawn"` // set-ups cancelled by the caller
 	Overdue              uint64 // set-ups whose deadline passed before the module abandoned them
 	Adopted              uint64 // standing calls registered by their callers
+	AdoptedOverLimit     uint64 // standing calls given up because callers named more than the node holds
 	UnknownCalls         uint64 `json:"Unknown"`       // messages about calls or servers that the node does not know
 	LateReplies          uint64 `json:"Late"`          // messages about abandoned or unknown set-ups
 	CallsLost            uint64 `json:"Cut"`           // standing calls lost with their server
@@ -134,7 +137,7 @@
 	n := &Node{cfg: cfg, module: module, classIndex: map[string]int{}, callsByID: map[uint64]*callState{},
 		callsByNumber: map[uint64]*callState{}, callerConns: map[ConnID]*callerConn{}, servers: map[string]*server{},
 		serversByNumber: map[uint32]*server{}, trunks: map[ConnID]*trunkConn{}, now: now,
-		ended: endedCalls{byID: map[uint64]endedCall{}}}
+		adopted: newAdoptedCalls(cfg.MaxAdoptedCalls), ended: endedCalls{byID: map[uint64]endedCall{}}}
 	for i, class := range cfg.Module.Classes {
 		n.classIndex[class.Name] = i
 	}
@@ -248,6 +251,9 @@
 // OpenCalls returns the number of calls that await an answer.
 func (n *Node) OpenCalls() int { return n.openCallCount }
 
+// AdoptedCalls returns the number of standing calls that are known only from their callers.
+func (n *Node) AdoptedCalls() int { return n.adopted.count }
+
 // callsAwaitingAnswer returns the open calls in order of arrival.
 func (n *Node) callsAwaitingAnswer() []*callState {
 	var open []*callState
--- a/internal/edge/admission/admission.go
+++ b/internal/edge/admission/admission.go
@@ -42,6 +42,18 @@
 	return c.LastUsed < other.LastUsed
 }
 
+// Limits on the standing calls that are known only because callers have named them.
+const (
+	adoptedCallBytes       = 512
+	adoptedCallMemoryShare = 8 // one in so many bytes of the memory limit
+)
+
+// MaxAdoptedCalls returns how many standing calls, known only because callers have named them, fit into their share of
+// a memory limit. It returns 0 if there is no limit.
+func MaxAdoptedCalls(memoryBytes int64) int {
+	return int(memoryBytes / adoptedCallMemoryShare / adoptedCallBytes)
+}
+
 // ConnLimits returns how many of a number of descriptors connections from callers may use, and how many all
 // connections together may. The rest is for files, the listener, and connections that are being opened or
 // closed.
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -148,7 +148,7 @@
 	maxCallerConns, maxSockets := admission.ConnLimits(descriptors)
 	loop.maxSockets = int64(maxSockets)
 	node, err := access.New(access.Config{Module: cfg.Module, Edge: cfg.Edge, Seed: cfg.Seed, MaxCallerConns: maxCallerConns,
-		MaxTrunksPerServer: 4, MaxTrunks: maxSockets - maxCallerConns,
+		MaxTrunksPerServer: 4, MaxTrunks: maxSockets - maxCallerConns, MaxAdoptedCalls: admission.MaxAdoptedCalls(cfg.Limits.MemoryBytes),
 		ClockZeroUnixMilli: state.startedAt.Add(-clockStart).UnixMilli(), HasCallerClosed: loop.hasCallerClosed}, state.clock())
 	if err != nil {
 		return err
