edge: a server's release of an unknown call is remembered apart from what callers end

Found on the paths of named calls: one client's state cost another client. No caller is known to have seen it.

Cause: after a restart a server may release a call before its caller names it. That release was remembered in the table of all ended calls, 20,000 entries, which any client fills by setting up and cancelling, or naming and releasing, at full speed. Displaced, the call was registered as standing when named, and nothing ended it: lost.

Change: releases of unknown calls have a table of their own, which only call servers fill.

Test: TestReleaseOutlastsOtherCalls failed before: "released before it was named: got [], want [BYE]".

--- a/internal/edge/access/adopted_test.go
+++ b/internal/edge/access/adopted_test.go
@@ -131,3 +131,17 @@
 	}
 	runtime.KeepAlive(h)
 }
+
+// TestReleaseOutlastsOtherCalls guards against a call that stands for good: its server has released it before its caller
+// has named it, and meanwhile another client ends more calls than the node remembers.
+func TestReleaseOutlastsOtherCalls(t *testing.T) {
+	h := newHarness(t, testConfig(), "s-1")
+	h.sendFromServer(h.trunks[serverAddr("s-1")][0], trunk.TypeRelease, 1, causeParam(trunk.CauseNormal))
+	flooding, caller := h.openCaller(), h.openCaller()
+	for n := 10; n < 10+maxEndedCalls+1; n++ {
+		h.sendFromCaller(flooding, formatInvite(n, "at:s-1")+formatRequest("BYE", n, "", ""))
+		delete(h.unread, flooding)
+	}
+	h.sendFromCaller(caller, formatInvite(1, "at:s-1"))
+	h.expect("released before it was named", h.receivedByCaller(caller), "[BYE]")
+}
--- a/internal/edge/access/calls.go
+++ b/internal/edge/access/calls.go
@@ -52,10 +52,11 @@
 		n.adoptCall(c, setUp, msg, existing)
 		return
 	}
-	if isDuplicate || n.ended.byID[setUp.ID].endedAt > 0 || !c.CanOpenCall() ||
+	_, hasEnded := n.endedCall(setUp.ID)
+	if isDuplicate || hasEnded || !c.CanOpenCall() ||
 		n.cfg.Edge.MaxOpenCalls > 0 && n.openCallCount >= n.cfg.Edge.MaxOpenCalls {
 		status := 503
-		if isDuplicate || n.ended.byID[setUp.ID].endedAt > 0 { // every set-up must have an id of its own
+		if isDuplicate || hasEnded { // every set-up must have an id of its own
 			status = 482
 		}
 		n.Totals.Malformed++
@@ -178,7 +179,7 @@
 	call := &callState{number: n.lastCallNumber, id: setUp.ID, callID: msg.Get("Call-ID"), calledNumber: setUp.Number, conn: c.id}
 	call.setStanding(n.now)
 	srv := n.servers[setUp.StandingAt]
-	if ended, ok := n.ended.byID[setUp.ID]; ok {
+	if ended, hasEnded := n.endedCall(setUp.ID); hasEnded {
 		n.releaseAtCaller(call, int(cmp.Or(ended.cause, 41)))
 		return
 	}
--- a/internal/edge/access/node.go
+++ b/internal/edge/access/node.go
@@ -88,7 +88,8 @@
 	callsByNumber    map[uint64]*callState // by the module's number; open and standing calls
 	openCallCount    int
 	adopted          *adoptedCalls
-	ended            endedCalls
+	ended            endedCalls // calls that ended at this node
+	releasedUnknown  endedCalls // calls that servers released and that the node did not know
 	callerConns      map[ConnID]*callerConn
 	pendingReleases  []callerRelease // releases for callers, while no suitable caller connection is open
 	servers          map[string]*server
@@ -137,7 +138,7 @@
 	n := &Node{cfg: cfg, module: module, classIndex: map[string]int{}, callsByID: map[uint64]*callState{},
 		callsByNumber: map[uint64]*callState{}, callerConns: map[ConnID]*callerConn{}, servers: map[string]*server{},
 		serversByNumber: map[uint32]*server{}, trunks: map[ConnID]*trunkConn{}, now: now,
-		adopted: newAdoptedCalls(cfg.MaxAdoptedCalls), ended: endedCalls{byID: map[uint64]endedCall{}}}
+		adopted: newAdoptedCalls(cfg.MaxAdoptedCalls), ended: newEndedCalls(), releasedUnknown: newEndedCalls()}
 	for i, class := range cfg.Module.Classes {
 		n.classIndex[class.Name] = i
 	}
@@ -228,6 +229,7 @@
 		n.maintainServer(srv)
 	}
 	n.ended.removeExpired(n.now)
+	n.releasedUnknown.removeExpired(n.now)
 	n.timerHeap.Set(&n.maintenanceTimer, n.now+maintenanceInterval, n.maintain)
 }
 
@@ -266,7 +268,17 @@
 	return open
 }
 
-// endedCalls remembers recently ended calls, because messages about them may still be on their way.
+// endedCall returns what is known of a call that has ended recently.
+func (n *Node) endedCall(id uint64) (ended endedCall, hasEnded bool) {
+	if ended, hasEnded = n.releasedUnknown.byID[id]; hasEnded {
+		return ended, true
+	}
+	ended, hasEnded = n.ended.byID[id]
+	return ended, hasEnded
+}
+
+// endedCalls remembers recently ended calls, because messages about them may still be on their way. What callers end and
+// what call servers release unasked is remembered apart, so that no client can displace a server's release.
 type endedCalls struct {
 	byID        map[uint64]endedCall
 	oldestFirst []uint64 // ids in the order in which the calls ended
@@ -282,6 +294,8 @@
 	maxEndedCalls  = 20000
 )
 
+func newEndedCalls() endedCalls { return endedCalls{byID: map[uint64]endedCall{}} }
+
 func (e *endedCalls) add(id uint64, ended endedCall) {
 	if _, ok := e.byID[id]; !ok {
 		e.oldestFirst = append(e.oldestFirst, id)
--- a/internal/edge/access/node_test.go
+++ b/internal/edge/access/node_test.go
@@ -485,6 +485,8 @@
 		h.sendFromServer(conn, trunk.TypeRelease, 10+i, causeParam(16))
 		h.receivedByCaller(caller)
 		h.receivedByServer("s-1")
+		h.sendFromServer(conn, trunk.TypeRelease, 1000+i, causeParam(16)) // a call that the node does not know
+		h.receivedByServer("s-1")
 		if i%10 == 0 {
 			name := fmt.Sprintf("s-%03d%c", i, 'a'+i/10%20)
 			h.updateServers(false, member(name, 1, "up", 0))
@@ -496,11 +498,11 @@
 	h.advance(70 * time.Second)
 	node := h.node
 	if len(node.callsByID)+len(node.callsByNumber)+len(node.callerConns)+len(node.ended.byID)+len(node.ended.oldestFirst)+
-		len(node.pendingReleases) != 0 || len(node.servers) != 1 || len(node.serversByNumber) != 1 ||
+		len(node.releasedUnknown.byID)+len(node.releasedUnknown.oldestFirst)+len(node.pendingReleases) != 0 || len(node.servers) != 1 || len(node.serversByNumber) != 1 ||
 		len(node.serverOrder) != 1 || len(node.trunks) > 2 || node.timerHeap.Len() > 10 {
 		t.Errorf("left: %d calls, %d callers, %d ended, %d servers, %d trunks, %d timers; want one server, up to 2 trunks, 10 timers",
 			len(node.callsByID),
-			len(node.callerConns), len(node.ended.byID), len(node.servers), len(node.trunks), node.timerHeap.Len())
+			len(node.callerConns), len(node.ended.byID)+len(node.releasedUnknown.byID), len(node.servers), len(node.trunks), node.timerHeap.Len())
 	}
 }
 
