edge: every new start time in the list ends the calls that stood before it

Cause: UpdateServers took a new start time for a restart only if this process had sent the server a set-up or had seen it start or drain, which a node that has just restarted has not. Evidence: in the core alone, with a start first listed 1 s after the naming, no release follows; with an earlier start listed before, it does. Reachability cannot help, as the server is back before 6 s of silence. The condition protects nothing: only calls that stood before the start end.

Change: the condition is gone. A start drops only the kept releases of calls that stood before it; before, it dropped also those for the new process, which would now happen at the first listed start too.

--- a/internal/edge/access/node_test.go
+++ b/internal/edge/access/node_test.go
@@ -364,6 +364,58 @@
 	}
 }
 
+// TestRestartEndsNamedCalls guards against named calls that stand for good: their server starts anew before this process
+// has sent it any set-up. A call named after the start may stand at the new process and continues.
+func TestRestartEndsNamedCalls(t *testing.T) {
+	for name, tc := range map[string]struct {
+		firstStart time.Duration // before the call is named; 0: none is listed
+		restart    time.Duration // after the call is named
+		want       string
+	}{
+		"first start that is listed": {0, time.Second, "[BYE]"},
+		"another start":              {time.Minute, time.Second, "[BYE]"},
+		"start before the naming":    {0, -time.Second, "[]"},
+		"no other start":             {time.Minute, -time.Minute, "[]"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, testConfig(), "s-1", "s-2")
+			if tc.firstStart > 0 {
+				h.updateServers(false, member("s-1", 0, "up", (h.now-tc.firstStart).Milliseconds()))
+			}
+			caller := h.openCaller()
+			h.sendFromCaller(caller, formatInvite(1, "at:s-1")+formatInvite(2, "at:s-2"))
+			namedAt := h.now
+			h.advance(2 * time.Second)
+			h.updateServers(false, member("s-1", 0, "up", (namedAt+tc.restart).Milliseconds()))
+			h.expect("caller", h.receivedByCaller(caller), tc.want)
+		})
+	}
+}
+
+// TestStartInListKeepsLaterReleases guards against a call that stays at its server for good: its caller has released it
+// while no trunk was open, and then the list reports a start that came before the call.
+func TestStartInListKeepsLaterReleases(t *testing.T) {
+	for name, tc := range map[string]struct {
+		start time.Duration // after the call is named
+		want  string
+	}{"start before the call": {-time.Second, "[12/1/16]"}, "start after the call": {ms, "[]"}} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, testConfig(), "s-1")
+			h.dialResult[serverAddr("s-1")] = "refused"
+			h.node.TrunkClosed(h.now, h.trunks[serverAddr("s-1")][0], "reset")
+			h.execute()
+			caller := h.openCaller()
+			h.sendFromCaller(caller, formatInvite(1, "at:s-1")+formatRequest("BYE", 1, "", ""))
+			start := (h.now + tc.start).Milliseconds()
+			h.advance(100 * ms)
+			h.updateServers(false, member("s-1", 0, "up", start))
+			h.dialResult[serverAddr("s-1")] = ""
+			h.advance(time.Second)
+			h.expect("release when a trunk opens", h.receivedByServer("s-1"), tc.want)
+		})
+	}
+}
+
 // TestReleaseOnAnotherConnection checks that the release of a call whose caller connection has ended goes to a proven
 // connection and to no other, and that it is sent again if that connection ends before the release can have been
 // read.
@@ -498,8 +550,9 @@
 	h.advance(70 * time.Second)
 	node := h.node
 	if len(node.callsByID)+len(node.callsByNumber)+len(node.callerConns)+len(node.ended.byID)+len(node.ended.oldestFirst)+
-		len(node.releasedUnknown.byID)+len(node.releasedUnknown.oldestFirst)+len(node.pendingReleases) != 0 || len(node.servers) != 1 || len(node.serversByNumber) != 1 ||
-		len(node.serverOrder) != 1 || len(node.trunks) > 2 || node.timerHeap.Len() > 10 {
+		len(node.releasedUnknown.byID)+len(node.releasedUnknown.oldestFirst)+len(node.pendingReleases) != 0 ||
+		len(node.servers) != 1 || len(node.serversByNumber) != 1 || len(node.serverOrder) != 1 || len(node.trunks) > 2 ||
+		node.timerHeap.Len() > 10 {
 		t.Errorf("left: %d calls, %d callers, %d ended, %d servers, %d trunks, %d timers; want one server, up to 2 trunks, 10 timers",
 			len(node.callsByID),
 			len(node.callerConns), len(node.ended.byID)+len(node.releasedUnknown.byID), len(node.servers), len(node.trunks), node.timerHeap.Len())
--- a/internal/edge/access/servers.go
+++ b/internal/edge/access/servers.go
@@ -25,10 +25,16 @@
 	trunks          []*trunkConn // open or being dialed
 	queue           []*attempt   // attempts that wait for a trunk
 	standing        map[*callState]struct{}
-	pendingReleases []uint64 // releases that wait for an open trunk
+	pendingReleases []serverRelease // releases that wait for an open trunk
 	counts          AttemptCounts
 }
 
+// serverRelease is a release of a call for its server.
+type serverRelease struct {
+	callID        uint64
+	standingSince time.Duration
+}
+
 const (
 	goneRetention      = 60 * time.Second // how long a server that is gone is remembered
 	maxPendingReleases = 1000
@@ -68,7 +74,7 @@
 		if member.StartedUnixMilli > 0 {
 			started = min(n.now, max(1, time.Duration(member.StartedUnixMilli-n.cfg.ClockZeroUnixMilli)*time.Millisecond))
 		}
-		if started > srv.started && srv.started+srv.withdrawnAt+time.Duration(srv.counts.Sent) > 0 {
+		if started > srv.started {
 			restarted = append(restarted, srv)
 		}
 		srv.started = max(srv.started, started)
@@ -87,13 +93,8 @@
 			}
 		}
 	}
-	for _, srv := range restarted { // calls that stood before the restart are lost
-		srv.pendingReleases = nil // they belong to the previous process
-		for _, call := range srv.standingCalls() {
-			if call.standingSince < srv.started {
-				n.endLostCall(call, "the server has restarted")
-			}
-		}
+	for _, srv := range restarted {
+		n.endCallsBeforeStart(srv)
 	}
 	n.notifyModule(update)
 	for _, srv := range slices.Clone(n.serverOrder) {
@@ -106,6 +107,25 @@
 	}
 }
 
+// endCallsBeforeStart ends the calls that stood before the server's last start: they ended with its previous process.
+func (n *Node) endCallsBeforeStart(srv *server) {
+	srv.pendingReleases = slices.DeleteFunc(srv.pendingReleases, func(release serverRelease) bool {
+		return release.standingSince < srv.started
+	})
+	for _, call := range srv.standingCalls() {
+		if call.standingSince < srv.started {
+			n.endLostCall(call, "the server has restarted")
+		}
+	}
+}
+
+// keepRelease keeps a call's release until a trunk to its server opens.
+func (s *server) keepRelease(call *callState) {
+	if len(s.pendingReleases) < maxPendingReleases {
+		s.pendingReleases = append(s.pendingReleases, serverRelease{call.id, call.standingSince})
+	}
+}
+
 // setPhase applies the phase that the list reports for a server.
 func (n *Node) setPhase(srv *server, phase larkrouter.Phase) {
 	if phase == srv.phase {
@@ -227,8 +247,8 @@
 func (n *Node) endLostCalls(srv *server, cause string, keepReleases bool) {
 	n.log(LogEntry{Event: "calls cut", Server: srv.id, Cause: cause, Count: len(srv.standing)})
 	for _, call := range srv.standingCalls() {
-		if keepReleases && len(srv.pendingReleases) < maxPendingReleases {
-			srv.pendingReleases = append(srv.pendingReleases, call.id)
+		if keepReleases {
+			srv.keepRelease(call)
 		}
 		n.endLostCall(call, cause)
 	}
--- a/internal/edge/access/trunks.go
+++ b/internal/edge/access/trunks.go
@@ -66,8 +66,8 @@
 	t.isOpen, t.lastUsed = true, n.now
 	srv := t.server
 	srv.reachability.ConnOpened(n.now)
-	for _, id := range srv.pendingReleases {
-		n.write(t.id, encodeMessage(trunk.TypeRelease, id, trunk.CauseNormal))
+	for _, release := range srv.pendingReleases {
+		n.write(t.id, encodeMessage(trunk.TypeRelease, release.callID, trunk.CauseNormal))
 	}
 	srv.pendingReleases = nil
 	for _, att := range slices.Clone(srv.queue) {
@@ -250,9 +250,7 @@
 		}
 	}
 	if t == nil || !t.isOpen {
-		if len(srv.pendingReleases) < maxPendingReleases {
-			srv.pendingReleases = append(srv.pendingReleases, call.id)
-		}
+		srv.keepRelease(call)
 		return
 	}
 	n.write(t.id, encodeMessage(trunk.TypeRelease, call.id, cause))
