edge: a server's start is compared as the list writes it, not by the node's clock

No caller is known to have seen it; the platform has one clock.

Cause: UpdateServers clamped a start that the clock has not reached to now, and compared the result with the earlier result. With a clock behind, the same start looked new at each list update that repeated it: the calls since were cut, and the module took the server for just started once more.

Change: the list's own figure is compared; the start by the node's clock is fixed at its first report.

Test: TestStartAheadOfTheClock failed before: "call after the start: got [BYE], want []".

--- a/internal/edge/access/node_test.go
+++ b/internal/edge/access/node_test.go
@@ -392,6 +392,26 @@
 	}
 }
 
+// TestStartAheadOfTheClock guards against calls that are cut each time the list repeats a start that the clock of this
+// machine has not reached. It is one restart, as long as the list reports the same start.
+func TestStartAheadOfTheClock(t *testing.T) {
+	h := newHarness(t, testConfig(), "s-1")
+	start := (h.now + 3*time.Second).Milliseconds()
+	caller := h.openCaller()
+	h.sendFromCaller(caller, formatInvite(1, "at:s-1"))
+	h.advance(500 * ms)
+	h.updateServers(false, member("s-1", 0, "up", start))
+	h.expect("call before the start", h.receivedByCaller(caller), "[BYE]")
+	h.sendFromCaller(caller, formatInvite(2, "at:s-1"))
+	for range 10 {
+		h.advance(500 * ms)
+		h.updateServers(false, member("s-1", 0, "up", start))
+	}
+	h.expect("call after the start", h.receivedByCaller(caller), "[]")
+	h.updateServers(false, member("s-1", 0, "up", start+1000))
+	h.expect("call before the next start", h.receivedByCaller(caller), "[BYE]")
+}
+
 // TestStartInListKeepsLaterReleases guards against a call that stays at its server for good: its caller has released it
 // while no trunk was open, and then the list reports a start that came before the call.
 func TestStartInListKeepsLaterReleases(t *testing.T) {
--- a/internal/edge/access/servers.go
+++ b/internal/edge/access/servers.go
@@ -14,19 +14,20 @@
 
 // server is a call server, identified by its text id. Its number is unique in one run of the node.
 type server struct {
-	id              string
-	number          uint32
-	addr            netip.AddrPort
-	phase           larkrouter.Phase
-	withdrawnAt     time.Duration // when the list last reported it as draining or gone
-	started         time.Duration
-	reachability    *reachability.State
-	demand          reachability.Demand
-	trunks          []*trunkConn // open or being dialed
-	queue           []*attempt   // attempts that wait for a trunk
-	standing        map[*callState]struct{}
-	pendingReleases []serverRelease // releases that wait for an open trunk
-	counts          AttemptCounts
+	id               string
+	number           uint32
+	addr             netip.AddrPort
+	phase            larkrouter.Phase
+	withdrawnAt      time.Duration // when the list last reported it as draining or gone
+	startedUnixMilli int64         // latest start that the list has reported; 0: none
+	started          time.Duration // the same start by the node's clock, no later than it was reported
+	reachability     *reachability.State
+	demand           reachability.Demand
+	trunks           []*trunkConn // open or being dialed
+	queue            []*attempt   // attempts that wait for a trunk
+	standing         map[*callState]struct{}
+	pendingReleases  []serverRelease // releases that wait for an open trunk
+	counts           AttemptCounts
 }
 
 // serverRelease is a release of a call for its server.
@@ -70,14 +71,11 @@
 		case feed.PhaseRemoved:
 			phase = larkrouter.Gone
 		}
-		started := time.Duration(0)
-		if member.StartedUnixMilli > 0 {
-			started = min(n.now, max(1, time.Duration(member.StartedUnixMilli-n.cfg.ClockZeroUnixMilli)*time.Millisecond))
-		}
-		if started > srv.started {
+		started := n.startTime(srv, member.StartedUnixMilli)
+		if member.StartedUnixMilli > srv.startedUnixMilli {
+			srv.startedUnixMilli, srv.started = member.StartedUnixMilli, started
 			restarted = append(restarted, srv)
 		}
-		srv.started = max(srv.started, started)
 		if member.AddrPort.IsValid() && member.AddrPort != srv.addr {
 			srv.addr = member.AddrPort
 			n.closeTrunks(srv, "the address has changed")
@@ -107,6 +105,18 @@
 	}
 }
 
+// startTime returns a start that the list reports for a server, by the node's clock: 0 if it reports none, and no later
+// than the time of its first report.
+func (n *Node) startTime(srv *server, unixMilli int64) time.Duration {
+	switch {
+	case unixMilli <= 0:
+		return 0
+	case unixMilli == srv.startedUnixMilli:
+		return srv.started
+	}
+	return min(n.now, max(1, time.Duration(unixMilli-n.cfg.ClockZeroUnixMilli)*time.Millisecond))
+}
+
 // endCallsBeforeStart ends the calls that stood before the server's last start: they ended with its previous process.
 func (n *Node) endCallsBeforeStart(srv *server) {
 	srv.pendingReleases = slices.DeleteFunc(srv.pendingReleases, func(release serverRelease) bool {
