--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -258,20 +258,10 @@
 		return abort(err)
 	}
 	d.stopAgent()
-	if d.state != nil {
-		d.loop.PostAndWait(func(time.Duration) {
-			d.state.flush()
-			if err := d.state.store.Close(); err != nil {
-				d.log.Error("closing the store failed", "cause", err.Error())
-			}
-			d.state.successor = channel
-		})
-	}
-	err = channel.writeFrame(frame{Kind: "go"})
-	if err == nil {
-		err = channel.expectFrame("ready", readyTimeout)
+	if err := d.yieldStore(channel); err != nil {
+		return abort(err)
 	}
-	if err != nil {
+	if err := channel.expectFrame("ready", readyTimeout); err != nil {
 		return abort(err)
 	}
 	if d.state != nil {
@@ -283,6 +273,22 @@
 	return channel, nil
 }
 
+// yieldStore closes the store, sends "go", and makes the channel receive the journal from then on. All of this happens in
+// one turn of the loop and "go" takes its place in the queue of frames, so that no journal entry can come before it.
+func (d *Daemon) yieldStore(channel *handover) error {
+	hasRun := d.loop.PostAndWait(func(time.Duration) {
+		if d.state != nil {
+			d.state.yieldTo(channel)
+			return
+		}
+		channel.enqueue(frame{Kind: "go"})
+	})
+	if !hasRun {
+		return errors.New("upgrade: this process is ending")
+	}
+	return nil
+}
+
 // startProcess starts the program as it is installed now, with the channel and the sockets as descriptors 3 and up.
 func (d *Daemon) startProcess(channel int) (pid int, err error) {
 	fds, err := d.loop.stack.DuplicateDescriptors()
--- a/internal/daemon/state_store.go
+++ b/internal/daemon/state_store.go
@@ -239,6 +239,16 @@
 	}
 }
 
+// yieldTo closes the store, sends "go" to the successor, and sends it the journal from then on.
+func (s *stateStore) yieldTo(successor *handover) {
+	s.flush()
+	if err := s.store.Close(); err != nil {
+		s.log.Error("closing the store failed", "cause", err.Error())
+	}
+	successor.enqueue(frame{Kind: "go"})
+	s.successor = successor
+}
+
 // successorReady records that the successor serves: the batch held back for a failed upgrade is dropped.
 func (s *stateStore) successorReady() { s.successorServes, s.batch = true, store.WriteBatch{} }
 
