daemon: a predecessor that is stopped before its calls end no longer reports them as ended

What callers saw: during an upgrade the old process gets SIGTERM while it finishes its calls. It ends at once, as at any second signal, and its standing calls are released by nobody; 6 of 6 stood at the call server after 40 s.

Cause: drainForSuccessor sent "end" however the wait had ended, and the successor takes it for the end of all calls.

Test: TestPredecessorEndsDuringUpgrade is TestPredecessorKilledDuringUpgrade, unchanged for a kill, and the same for a stop, which failed before: "timed out waiting for the six calls to be released".

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -36,7 +36,9 @@
 //	successor:   "ready"     the successor serves and accepts connections
 //	predecessor: "packet", "lost", "refused" and "journal" as they occur
 //	successor:   "send"      a message for a connection that the predecessor holds
-//	predecessor: "end", or the channel closes: the successor reads the sockets itself
+//	predecessor: "end": all its calls have ended; the successor reads the sockets itself
+//
+// If the channel closes without "end", the successor also releases the calls that the journal has as standing.
 //
 // If the successor fails before "ready", the predecessor reopens the store and the agent and continues to serve.
 
@@ -378,7 +380,9 @@
 		}
 	})
 	loop.PostAndWait(func(time.Duration) { loop.Intercept = nil }) // no frame is queued by the loop after this
-	successor.enqueue(frame{Kind: "end"})
+	if clean {
+		successor.enqueue(frame{Kind: "end"})
+	}
 	if d.state != nil {
 		loop.PostAndWait(func(time.Duration) { d.state.successorDone = true })
 	}
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -95,7 +95,14 @@
 // start starts the process and waits until it serves.
 func (p *testProcess) start() {
 	p.t.Helper()
-	p.cmd = nodeCommand(p.t, p.path, p.log)
+	p.startCommand(nodeCommand(p.t, p.path, p.log))
+	waitFor(p.t, "the node to serve", func() bool { return strings.Contains(p.log.String(), "serving") })
+}
+
+// startCommand starts a process with the given command.
+func (p *testProcess) startCommand(cmd *exec.Cmd) {
+	p.t.Helper()
+	p.cmd = cmd
 	if err := p.cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
@@ -111,7 +118,6 @@
 		_ = p.cmd.Process.Kill()
 		_ = p.cmd.Wait()
 	})
-	waitFor(p.t, "the node to serve", func() bool { return strings.Contains(p.log.String(), "serving") })
 }
 
 // control sends a command to the control socket and returns the response.
@@ -267,9 +273,15 @@
 	p.dialOne()
 }
 
-// TestPredecessorKilledDuringUpgrade kills the old process during an upgrade while it has standing calls: the new process
-// must read the sockets and release the calls that the journal has as standing.
-func TestPredecessorKilledDuringUpgrade(t *testing.T) {
+// TestPredecessorEndsDuringUpgrade ends the old process during an upgrade while it has standing calls, by a kill and by a
+// signal to stop: the new process must read the sockets and release the calls that the journal has as standing. It guards
+// against calls that no process has any more and that stay at their call servers.
+func TestPredecessorEndsDuringUpgrade(t *testing.T) {
+	t.Run("killed", func(t *testing.T) { testPredecessorEnd(t, syscall.SIGKILL) })
+	t.Run("stopped", func(t *testing.T) { testPredecessorEnd(t, syscall.SIGTERM) })
+}
+
+func testPredecessorEnd(t *testing.T, signal syscall.Signal) {
 	p := newTestProcess(t, fmt.Sprintf("[store]\ndir = %q\n", filepath.Join(t.TempDir(), "store")), time.Hour)
 	p.start()
 	p.dial(6)
@@ -278,7 +290,7 @@
 	}
 	p.dial(2)
 	time.Sleep(100 * time.Millisecond) // the journal is sent at the end of the turn and written up to 50 ms later
-	if err := p.cmd.Process.Kill(); err != nil {
+	if err := p.cmd.Process.Signal(signal); err != nil {
 		t.Fatal(err)
 	}
 	waitFor(t, "the six calls to be released", func() bool {
