daemon: the successor serves alone if the predecessor dies before it is ready

What would be seen: the old process is killed between "go" and "ready" of an upgrade; the new one ends too, and no process serves until the service manager acts.

Cause: takeOver returned the error of writing "ready" to a channel without another end, which ends the process.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -43,10 +43,11 @@
 // If the successor fails before "ready", the predecessor reopens the store and the agent and continues to serve.
 
 const (
-	takeoverEnv    = "LARKROUTER_TAKEOVER" // set for the successor
-	prepareTimeout = 10 * time.Second      // for the successor to load its configuration, and for the predecessor's "go"
-	readyTimeout   = 20 * time.Second      // for the successor to serve
-	poolListWait   = 3 * time.Second       // wait for a pool list before the successor accepts connections
+	takeoverEnv    = "LARKROUTER_TAKEOVER"  // set for the successor
+	prepareTimeout = 10 * time.Second       // for the successor to load its configuration, and for the predecessor's "go"
+	readyTimeout   = 20 * time.Second       // for the successor to serve
+	abortWait      = 500 * time.Millisecond // a predecessor that aborts the upgrade kills the successor within this time
+	poolListWait   = 3 * time.Second        // wait for a pool list before the successor accepts connections
 )
 
 // frame is a message on the upgrade channel.
@@ -424,7 +425,13 @@
 	}
 	loop.stack.StartAccepting()
 	if err := predecessor.writeFrame(frame{Kind: "ready"}); err != nil {
-		return fmt.Errorf("upgrade: sending \"ready\": %w", err)
+		// The store is already this process's: it serves alone, unless the predecessor lives and ends it.
+		d.log.Warn("upgrade: sending \"ready\" failed, the predecessor may have ended", "cause", err.Error())
+		select {
+		case <-time.After(abortWait):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 	d.predecessorActive.Store(true)
 	d.wg.Add(2)
