edge: a call server whose address another has taken is gone before the list says so

Cause: the node took the address for the server. Resets prove nothing, and connections came up again, at the new process. The list's entry of another server at the address counted only once the old one was listed as gone; and then also calls set up at the new process through the old server's connections were cut.

Change: identity is id and start. A server is replaced once another is listed in service at its address with a later start, until its own id starts later or moves. Calls from before that start end, later ones move to the new server; named calls of the old id end. Entries without a start, and resets, end nothing.

--- a/internal/edge/access/servers.go
+++ b/internal/edge/access/servers.go
@@ -17,7 +17,9 @@
 	id               string
 	number           uint32
 	addr             netip.AddrPort
+	info             larkrouter.ServerInfo // as last listed
 	phase            larkrouter.Phase
+	isReplaced       bool          // another server has started at its address, so the process with this start has ended
 	withdrawnAt      time.Duration // when the list last reported it as draining or gone
 	startedUnixMilli int64         // latest start that the list has reported; 0: none
 	started          time.Duration // the same start by the node's clock, no later than it was reported
@@ -54,42 +56,22 @@
 	}
 	var restarted []*server
 	listed := map[*server]bool{}
-	for _, member := range list.Members {
-		srv := n.servers[member.ID]
-		if srv == nil {
-			n.lastServerNumber++
-			srv = &server{id: member.ID, number: n.lastServerNumber, phase: larkrouter.Ready, addr: member.AddrPort,
-				reachability: reachability.New(n.cfg.Reachability, n.now), standing: map[*callState]struct{}{}}
-			n.servers[member.ID], n.serversByNumber[srv.number] = srv, srv
-			n.serverOrder = append(n.serverOrder, srv)
-		}
-		listed[srv] = true
-		phase := larkrouter.Ready
-		switch member.Phase {
-		case feed.PhaseDraining:
-			phase = larkrouter.Draining
-		case feed.PhaseRemoved:
-			phase = larkrouter.Gone
-		}
-		started := n.startTime(srv, member.StartedUnixMilli)
-		if member.StartedUnixMilli > srv.startedUnixMilli {
-			srv.startedUnixMilli, srv.started = member.StartedUnixMilli, started
+	for i := range list.Members {
+		srv, hasStarted := n.applyMember(&list.Members[i])
+		if listed[srv] = true; hasStarted {
 			restarted = append(restarted, srv)
 		}
-		if member.AddrPort.IsValid() && member.AddrPort != srv.addr {
-			srv.addr = member.AddrPort
-			n.closeTrunks(srv, "the address has changed")
+	}
+	for _, srv := range n.serverOrder {
+		if list.Complete && !listed[srv] {
+			srv.info.Phase = larkrouter.Gone
 		}
-		n.setPhase(srv, phase)
-		update.Servers = append(update.Servers, larkrouter.ServerInfo{ID: srv.number, Zone: slices.Index(n.cfg.Edge.Zones, member.Zone),
-			Kind: slices.Index(n.cfg.Edge.ServerKinds, member.Kind), Number: member.Cell, Phase: phase, Weight: member.Size, Started: started})
 	}
-	if list.Complete {
-		for _, srv := range n.serverOrder {
-			if !listed[srv] {
-				n.setPhase(srv, larkrouter.Gone)
-			}
+	for _, srv := range n.serverOrder {
+		if n.checkReplaced(srv) || listed[srv] {
+			update.Servers = append(update.Servers, srv.currentInfo())
 		}
+		n.setPhase(srv, srv.currentInfo().Phase)
 	}
 	for _, srv := range restarted {
 		n.endCallsBeforeStart(srv)
@@ -105,6 +87,90 @@
 	}
 }
 
+// applyMember applies one entry of the server list. It reports whether the entry has a new start.
+func (n *Node) applyMember(member *feed.Server) (srv *server, hasStarted bool) {
+	if srv = n.servers[member.ID]; srv == nil {
+		n.lastServerNumber++
+		srv = &server{id: member.ID, number: n.lastServerNumber, phase: larkrouter.Ready, addr: member.AddrPort,
+			reachability: reachability.New(n.cfg.Reachability, n.now), standing: map[*callState]struct{}{}}
+		n.servers[member.ID], n.serversByNumber[srv.number] = srv, srv
+		n.serverOrder = append(n.serverOrder, srv)
+	}
+	started := n.startTime(srv, member.StartedUnixMilli)
+	if hasStarted = member.StartedUnixMilli > srv.startedUnixMilli; hasStarted {
+		srv.startedUnixMilli, srv.started, srv.isReplaced = member.StartedUnixMilli, started, false
+	}
+	if member.AddrPort.IsValid() && member.AddrPort != srv.addr {
+		srv.addr, srv.isReplaced = member.AddrPort, false
+		n.closeTrunks(srv, "the address has changed")
+	}
+	srv.info = larkrouter.ServerInfo{ID: srv.number, Zone: slices.Index(n.cfg.Edge.Zones, member.Zone),
+		Kind: slices.Index(n.cfg.Edge.ServerKinds, member.Kind), Number: member.Cell, Phase: listedPhase(member.Phase),
+		Weight: member.Size, Started: started}
+	return srv, hasStarted
+}
+
+func listedPhase(phase string) larkrouter.Phase {
+	switch phase {
+	case feed.PhaseDraining:
+		return larkrouter.Draining
+	case feed.PhaseRemoved:
+		return larkrouter.Gone
+	}
+	return larkrouter.Ready
+}
+
+// currentInfo returns what the list says of the server, except that a replaced server is gone whatever the list says: the
+// list reports the end of a process late.
+func (s *server) currentInfo() larkrouter.ServerInfo {
+	info := s.info
+	if s.isReplaced {
+		info.Phase = larkrouter.Gone
+	}
+	return info
+}
+
+// checkReplaced records that another server has taken the server's address: it is listed there and has started later. It
+// reports whether that is new. The identity of a process is its server's id and start, never its address.
+func (n *Node) checkReplaced(srv *server) (isNew bool) {
+	if srv.isReplaced {
+		return false
+	}
+	for _, other := range n.serverOrder {
+		if other.addr == srv.addr && other.info.Phase != larkrouter.Gone && other.startedUnixMilli > srv.startedUnixMilli {
+			n.log(LogEntry{Event: "server replaced", Server: srv.id, Cause: "address taken by " + other.id, Count: len(srv.standing)})
+			srv.isReplaced = true
+			return true
+		}
+	}
+	return false
+}
+
+// serverAtAddressOf returns the server in service that has the address of a server that is gone, or nil.
+func (n *Node) serverAtAddressOf(gone *server) (found *server) {
+	for _, other := range n.serverOrder {
+		if other != gone && other.phase != larkrouter.Gone && other.addr == gone.addr &&
+			(found == nil || other.startedUnixMilli > found.startedUnixMilli) {
+			found = other
+		}
+	}
+	return found
+}
+
+// endCallsOfReplaced ends the calls of a server that is gone and whose address a successor has. Calls set up there after the
+// successor's start stand at the successor. A call that its caller has named there stood at the old process.
+func (n *Node) endCallsOfReplaced(srv, successor *server) {
+	for _, call := range srv.standingCalls() {
+		if call.adoptedIn == nil && successor.started > 0 && call.standingSince >= successor.started {
+			delete(srv.standing, call)
+			call.server = successor
+			successor.standing[call] = struct{}{}
+		}
+	}
+	n.closeTrunks(srv, "another server has its address")
+	n.endLostCalls(srv, "another server has its address", false)
+}
+
 // startTime returns a start that the list reports for a server, by the node's clock: 0 if it reports none, and no later
 // than the time of its first report.
 func (n *Node) startTime(srv *server, unixMilli int64) time.Duration {
@@ -175,12 +241,9 @@
 		return
 	}
 	if srv.phase == larkrouter.Gone {
-		for _, other := range n.serverOrder {
-			if other != srv && other.phase != larkrouter.Gone && other.addr == srv.addr {
-				n.closeTrunks(srv, "another server has its address")
-				n.endLostCalls(srv, "another server has its address", false)
-				return
-			}
+		if successor := n.serverAtAddressOf(srv); successor != nil {
+			n.endCallsOfReplaced(srv, successor)
+			return
 		}
 	}
 	if cause, isDead := srv.reachability.IsDead(n.now, srv.phase == larkrouter.Gone); isDead && len(srv.standing) > 0 {
