edge: a release waits no longer for another caller's answer, but goes to any caller in 0.5 s

Change: without such a connection it goes at once to one with an open set-up, after 0.5 s to any, and again on the next proven one unless a caller confirms it or that connection was its own. A caller that releases the call itself is sent nothing more. Releases live in caller_releases.go, with a bound of their own, and expire together after 30 s.

--- /dev/null
+++ b/internal/edge/access/caller_releases.go
@@ -0,0 +1,171 @@
+package access
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	codec "larkrouter/internal/edge/caller"
+)
+
+// Limits on releases that callers have not received or confirmed.
+const (
+	maxUnconfirmedReleases   = 500
+	maxPendingCallerReleases = 20000
+	pendingReleaseTimeout    = 30 * time.Second
+	releaseResendWindow      = time.Second            // a release is sent again if the connection that it was written to ends within this time
+	anyConnAfter             = 500 * time.Millisecond // a release that has waited this long goes to any connection from callers
+)
+
+// callerRelease is a release of a call for its caller. It goes to the connection on which the call was received. If that
+// has ended, it goes to the best other connection from callers: a proven one, else one with an open set-up, else, after
+// anyConnAfter, any. A connection that is not proven may belong to a client that ignores the release. Therefore a release
+// that was written only to such a connection is sent again on the next proven one, unless a caller has confirmed it.
+type callerRelease struct {
+	callID  uint64
+	message []byte
+	conn    ConnID        // on which the call was received
+	since   time.Duration // when the call ended
+	sentAt  time.Duration
+
+	// needsProvenConn is set while the release was written only to a connection that is neither proven nor the call's own.
+	needsProvenConn bool
+}
+
+// releaseAtCaller notifies a caller of the end of its call.
+func (n *Node) releaseAtCaller(call *callState, cause int) {
+	n.Totals.CallerReleases++
+	rel := callerRelease{callID: call.id, message: codec.Release(call.callID, call.calledNumber, cause), conn: call.conn,
+		since: n.now}
+	if c := n.callerConns[call.conn]; c != nil {
+		n.writeRelease(rel, c)
+		return
+	}
+	n.sendRelease(rel)
+}
+
+// sendRelease sends a release on the best connection that is open. If there is none, the release waits.
+func (n *Node) sendRelease(rel callerRelease) {
+	to := n.lastUsedConn(func(c *callerConn) bool { return c.Proven })
+	if to == nil {
+		to = n.lastUsedConn(func(c *callerConn) bool { return c.OpenCalls > 0 && c.hasRoomForRelease() })
+	}
+	if to != nil {
+		n.writeRelease(rel, to)
+		return
+	}
+	if len(n.pendingReleases) < maxPendingCallerReleases && n.now-rel.since <= pendingReleaseTimeout {
+		n.pendingReleases = append(n.pendingReleases, rel)
+	}
+}
+
+// lastUsedConn returns the suitable connection from callers that was used last, or nil.
+func (n *Node) lastUsedConn(isSuitable func(*callerConn) bool) (last *callerConn) {
+	for _, c := range n.callerConns {
+		if !isSuitable(c) {
+			continue
+		}
+		if last == nil || c.LastUsed > last.LastUsed || c.LastUsed == last.LastUsed && c.id > last.id {
+			last = c
+		}
+	}
+	return last
+}
+
+// hasRoomForRelease reports whether one more release that is written to the connection can be remembered.
+func (c *callerConn) hasRoomForRelease() bool {
+	return len(c.unconfirmedReleases) < maxUnconfirmedReleases
+}
+
+// writeRelease writes a release to a connection and remembers it until it is confirmed. On a proven connection the oldest
+// release gives way, and one that was written a while ago has been read.
+func (n *Node) writeRelease(rel callerRelease, to *callerConn) {
+	rel.sentAt, rel.needsProvenConn = n.now, !to.Proven && to.id != rel.conn
+	isOldestRead := to.Proven && len(to.unconfirmedReleases) > 0 && n.now-to.unconfirmedReleases[0].sentAt >= releaseResendWindow
+	if isOldestRead || !to.hasRoomForRelease() {
+		to.unconfirmedReleases = slices.Clone(to.unconfirmedReleases[1:])
+	}
+	to.unconfirmedReleases = append(to.unconfirmedReleases, rel)
+	n.write(to.id, rel.message)
+}
+
+// confirmRelease records that the caller has confirmed the release of a call.
+func (c *callerConn) confirmRelease(callID uint64) {
+	c.unconfirmedReleases = slices.DeleteFunc(c.unconfirmedReleases, func(rel callerRelease) bool { return rel.callID == callID })
+}
+
+// resendReleases sends the releases again that the caller may not have read before its connection ended: those written
+// less than window before, and those that still need a proven connection.
+func (n *Node) resendReleases(ended *callerConn, window time.Duration) {
+	for _, rel := range ended.unconfirmedReleases {
+		if rel.needsProvenConn || n.now-rel.sentAt < window {
+			n.sendRelease(rel)
+		}
+	}
+}
+
+// dropRelease drops a release that waits for a connection, because its caller has released the call itself.
+func (n *Node) dropRelease(callID uint64) {
+	n.pendingReleases = slices.DeleteFunc(n.pendingReleases, func(rel callerRelease) bool { return rel.callID == callID })
+}
+
+// markProven records that a call received on a connection was answered or adopted, and sends on it the releases that wait
+// and those that were written only to connections that are not proven.
+func (n *Node) markProven(c *callerConn) {
+	if !c.Proven {
+		c.Proven = true
+		for i := range c.unconfirmedReleases {
+			c.unconfirmedReleases[i].needsProvenConn = false
+		}
+		n.takeUnprovenReleases()
+	}
+	n.sendPendingReleases(c)
+}
+
+// takeUnprovenReleases moves the unconfirmed releases of connections that are not proven to those that wait.
+func (n *Node) takeUnprovenReleases() {
+	var unproven []*callerConn
+	for _, c := range n.callerConns {
+		if !c.Proven && len(c.unconfirmedReleases) > 0 {
+			unproven = append(unproven, c)
+		}
+	}
+	slices.SortFunc(unproven, func(a, b *callerConn) int { return cmp.Compare(a.id, b.id) })
+	for _, c := range unproven {
+		for _, rel := range c.unconfirmedReleases {
+			if rel.needsProvenConn {
+				n.pendingReleases = append(n.pendingReleases, rel)
+			}
+		}
+		c.unconfirmedReleases = slices.DeleteFunc(c.unconfirmedReleases, func(rel callerRelease) bool { return rel.needsProvenConn })
+	}
+}
+
+// sendPendingReleases sends the releases that wait on a connection, as many as it can take.
+func (n *Node) sendPendingReleases(c *callerConn) {
+	sent := 0
+	for ; sent < len(n.pendingReleases) && (c.Proven || c.hasRoomForRelease()); sent++ {
+		n.writeRelease(n.pendingReleases[sent], c)
+	}
+	if sent > 0 {
+		n.pendingReleases = slices.Clone(n.pendingReleases[sent:])
+	}
+}
+
+// maintainReleases drops releases that have found no caller in time, and sends those that have waited for long on any
+// connection from callers.
+func (n *Node) maintainReleases() {
+	if len(n.pendingReleases) == 0 {
+		return
+	}
+	n.pendingReleases = slices.DeleteFunc(n.pendingReleases, func(rel callerRelease) bool {
+		return n.now-rel.since > pendingReleaseTimeout
+	})
+	hasWaited := slices.ContainsFunc(n.pendingReleases, func(rel callerRelease) bool { return n.now-rel.since >= anyConnAfter })
+	if !hasWaited {
+		return
+	}
+	if c := n.lastUsedConn((*callerConn).hasRoomForRelease); c != nil {
+		n.sendPendingReleases(c)
+	}
+}
--- a/internal/edge/access/callers.go
+++ b/internal/edge/access/callers.go
@@ -11,30 +11,15 @@
 	"larkrouter/internal/sip"
 )
 
-// Limits on releases that callers have not received or confirmed.
-const (
-	maxUnconfirmedReleases = 500
-	pendingReleaseTimeout  = 30 * time.Second
-	releaseResendWindow    = time.Second // a release is sent again if the connection that it was written to ends within this time
-)
-
 // callerConn is a connection from callers.
 type callerConn struct {
 	admission.Conn
 	id ConnID
 
-	// unconfirmedReleases were recently written to the connection. If it ends, they are sent again on another one,
-	// because the caller may not have read them.
+	// unconfirmedReleases were written to the connection, and no caller has confirmed them. See caller_releases.go.
 	unconfirmedReleases []callerRelease
 }
 
-// callerRelease is a release of a call for its caller, pending or recently sent.
-type callerRelease struct {
-	callID  uint64
-	message []byte
-	sentAt  time.Duration // when it was sent, or when it began to wait for a connection
-}
-
 // CallerOpened handles a new connection from callers. At the limit another one is evicted for it if possible.
 func (n *Node) CallerOpened(now time.Duration, conn ConnID) {
 	n.advanceClock(now)
@@ -68,6 +53,7 @@
 	n.Totals.CallerConnsClosed++
 	n.removeCallerConn(c)
 	n.effects = append(n.effects, Effect{Kind: EffectClose, Conn: c.id})
+	n.resendReleases(c, 0) // what was written is read before the end
 }
 
 // removeCallerConn removes a connection from callers. The calls that stand outlive it.
@@ -85,11 +71,7 @@
 		return
 	}
 	n.removeCallerConn(c)
-	for _, rel := range c.unconfirmedReleases { // the connection may have ended before the caller read them
-		if n.now-rel.sentAt < releaseResendWindow {
-			n.sendRelease(rel, nil)
-		}
-	}
+	n.resendReleases(c, releaseResendWindow)
 	if c.OpenCalls == 0 {
 		return
 	}
@@ -148,7 +130,7 @@
 	id, err := codec.ParseID(msg.Get("Call-ID"))
 	switch {
 	case !msg.IsRequest():
-		c.unconfirmedReleases = slices.DeleteFunc(c.unconfirmedReleases, func(rel callerRelease) bool { return rel.callID == id })
+		c.confirmRelease(id)
 	case msg.Method == sip.ACK:
 	case msg.Method == sip.OPTIONS:
 		n.write(conn, codec.Response(msg, 200, 0, nil))
@@ -176,6 +158,7 @@
 			n.cancelCall(call)
 			n.write(conn, codec.Response(msg, 200, 0, nil))
 		case hasEnded:
+			n.dropRelease(id)
 			n.write(conn, codec.Response(msg, 200, 0, nil))
 		default:
 			n.Totals.UnknownCalls++
@@ -193,54 +176,9 @@
 	n.write(c.id, codec.Response(msg, 400, 0, nil))
 }
 
-// releaseAtCaller notifies a caller of the end of its call, preferably on the connection on which the call was
-// received, otherwise on a proven one.
-func (n *Node) releaseAtCaller(call *callState, cause int) {
-	n.Totals.CallerReleases++
-	n.sendRelease(callerRelease{callID: call.id, message: codec.Release(call.callID, call.calledNumber, cause)}, n.callerConns[call.conn])
-}
-
-// sendRelease sends a release on the given connection, or else on the proven connection that was used last. If
-// there is none, the release waits for the next proven connection.
-func (n *Node) sendRelease(rel callerRelease, to *callerConn) {
-	if to == nil {
-		for _, c := range n.callerConns {
-			if c.Proven && (to == nil || c.LastUsed > to.LastUsed || c.LastUsed == to.LastUsed && c.id > to.id) {
-				to = c
-			}
-		}
-	}
-	if to == nil {
-		if rel.sentAt = n.now; len(n.pendingReleases) < maxEndedCalls {
-			n.pendingReleases = append(n.pendingReleases, rel)
-		}
-		return
-	}
-	rel.sentAt = n.now
-	if len(to.unconfirmedReleases) > 0 && n.now-to.unconfirmedReleases[0].sentAt >= releaseResendWindow ||
-		len(to.unconfirmedReleases) >= maxUnconfirmedReleases {
-		to.unconfirmedReleases = slices.Clone(to.unconfirmedReleases[1:])
-	}
-	to.unconfirmedReleases = append(to.unconfirmedReleases, rel)
-	n.write(to.id, rel.message)
-}
-
-// markProven records that a call received on a connection was answered or adopted, and sends the pending releases on it.
-func (n *Node) markProven(c *callerConn) {
-	c.Proven = true
-	pending := n.pendingReleases
-	n.pendingReleases = nil
-	for _, rel := range pending {
-		n.sendRelease(rel, c)
-	}
-}
-
-// maintainCallers drops releases that found no caller connection and closes connections past their timeouts.
+// maintainCallers sends or drops releases that have waited for long and closes connections past their timeouts.
 func (n *Node) maintainCallers() {
-	// Drop the oldest release if no proven connection has opened in time.
-	if len(n.pendingReleases) > 0 && n.now-n.pendingReleases[0].sentAt > pendingReleaseTimeout {
-		n.pendingReleases = slices.Clone(n.pendingReleases[1:])
-	}
+	n.maintainReleases()
 	var expired []*callerConn
 	for _, c := range n.callerConns {
 		if c.ShouldClose(n.now) {
--- a/internal/edge/access/calls.go
+++ b/internal/edge/access/calls.go
@@ -73,6 +73,7 @@
 	n.callsByID[call.id], n.callsByNumber[call.number] = call, call
 	n.openCallCount++
 	c.OpenCalls++
+	n.sendPendingReleases(c)
 	n.timerHeap.Set(&call.timer, call.deadline, func() { n.expireCall(call) })
 	n.notifyModule(larkrouter.Call{ID: call.number, Class: class, CalledNumber: setUp.Key, TimeLeft: call.deadline - n.now,
 		Destination: setUp.Destination,
