edge: the limit for the command channel's first byte grows, so a slow channel is heard

Cause: readFeed gave every request 2 s for connection and first byte, the limit for silence, the same at every retry.

Change: limits of their own for the connection (1 to 4 s), the first byte (2 to 16 s) and silence (2 s); the first two double with each request that they end. A channel that answers gets twice its time, at least 2 s. The log names the limit.

--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -165,10 +165,6 @@
 	return true, false
 }
 
-// SilenceTimeout is how long the command channel may be silent before it counts as broken. It sends at least a
-// comment each second.
-const SilenceTimeout = 2 * time.Second
-
 // Backoff returns how long to wait before reconnecting after a number of consecutive failures.
 func Backoff(failures int) time.Duration {
 	return min(50*time.Millisecond<<min(failures, 6), time.Second)
--- a/internal/edge/feedclient.go
+++ b/internal/edge/feedclient.go
@@ -4,29 +4,48 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"time"
 
 	"larkrouter/internal/edge/feed"
 )
 
+// feedClient reads the command channel at one address.
+type feedClient struct {
+	*sharedState
+	addr   string
+	cursor *feed.Cursor
+	limits feed.RequestLimits
+
+	connectedAt time.Time // when the connection of the current request opened
+}
+
+var (
+	errGap         = errors.New("gap in the event numbers")
+	errNoFirstByte = errors.New("no first byte in time")
+	errSilent      = errors.New("silent for too long")
+)
+
 // followFeed reads the command channel at an address until the context ends. It passes the events to the event
 // loop one at a time and waits until each is applied. If the channel breaks or falls silent, it reconnects and
 // continues after the last accepted event.
 func (s *sharedState) followFeed(ctx context.Context, addr string, cursor *feed.Cursor) {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
-		DialContext: (&net.Dialer{Timeout: time.Second, KeepAlive: -1}).DialContext}}
+	client := &feedClient{sharedState: s, addr: addr, cursor: cursor, limits: feed.NewRequestLimits()}
 	for failures := 0; ctx.Err() == nil; {
-		hasReceived, err := s.readFeed(ctx, client, addr, cursor)
+		hasReceived, err := client.request(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		if hasReceived {
 			failures = 0
 		}
-		s.log.Warn("command channel broken", "address", addr, "cursor", cursor.Last, "cause", fmt.Sprint(err))
+		client.adjustLimits(err)
+		s.log.Warn("command channel broken", "address", addr, "cursor", cursor.Last, "cause", fmt.Sprint(err),
+			"first_byte_limit", client.limits.FirstByte.String())
 		select {
 		case <-ctx.Done():
 		case <-time.After(feed.Backoff(failures)):
@@ -35,51 +54,77 @@
 	}
 }
 
-var errGap = errors.New("gap in the event numbers")
+// adjustLimits raises the limit that has ended a request.
+func (c *feedClient) adjustLimits(err error) {
+	var opErr *net.OpError
+	switch {
+	case errors.Is(err, errNoFirstByte):
+		c.limits.FirstByteTimedOut()
+	case errors.As(err, &opErr) && opErr.Op == "dial" && opErr.Timeout():
+		c.limits.ConnectTimedOut()
+	}
+}
 
-// readFeed makes one request to the command channel and handles its events until the connection ends, is silent
-// for too long, or has a gap in its events. hasReceived reports whether a new event was received.
-func (s *sharedState) readFeed(ctx context.Context, client *http.Client, addr string, cursor *feed.Cursor) (hasReceived bool, err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silenceTimer := time.AfterFunc(feed.SilenceTimeout, cancel)
-	defer silenceTimer.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/cmd/next", nil)
+// request makes one request to the command channel and handles its events until the connection ends, takes too long, or has
+// a gap in its events. hasReceived reports whether a new event was received.
+func (c *feedClient) request(ctx context.Context) (hasReceived bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	firstByteTimer := time.AfterFunc(c.limits.Connect+c.limits.FirstByte, func() { cancel(errNoFirstByte) })
+	defer firstByteTimer.Stop()
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+		c.connectedAt = time.Now()
+		firstByteTimer.Reset(c.limits.FirstByte)
+	}})
+	req, err := http.NewRequestWithContext(traced, http.MethodGet, "http://"+c.addr+"/cmd/next", nil)
 	if err != nil {
 		return false, err
 	}
-	req.Header.Set("Last-Event-ID", strconv.FormatUint(cursor.Last, 10))
+	req.Header.Set("Last-Event-ID", strconv.FormatUint(c.cursor.Last, 10))
 	req.Header.Set("Accept", "text/event-stream")
-	resp, err := client.Do(req)
+	dialer := &net.Dialer{Timeout: c.limits.Connect, KeepAlive: -1}
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dialer.DialContext}
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return false, err
+		return false, causeOf(ctx, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		return false, fmt.Errorf("GET /cmd/next: status must be 200, got %s", resp.Status)
 	}
+	hasReceived, err = c.readEvents(resp.Body, firstByteTimer, cancel)
+	return hasReceived, causeOf(ctx, err)
+}
+
+// causeOf returns the cause of a canceled context, or else err.
+func causeOf(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+// readEvents handles the events of a response until it ends, is silent for too long, or has a gap in its events.
+func (c *feedClient) readEvents(body io.Reader, firstByteTimer *time.Timer, cancel context.CancelCauseFunc) (hasReceived bool, err error) {
 	var stream feed.Stream
 	var buf [4096]byte
+	var silenceTimer *time.Timer
+	defer func() {
+		if silenceTimer != nil {
+			silenceTimer.Stop()
+		}
+	}()
 	for {
-		n, err := resp.Body.Read(buf[:])
+		n, err := body.Read(buf[:])
 		if n > 0 {
+			if silenceTimer == nil {
+				firstByteTimer.Stop()
+				c.limits.FirstByteReceived(time.Since(c.connectedAt))
+				silenceTimer = time.AfterFunc(feed.SilenceTimeout, func() { cancel(errSilent) })
+			}
 			silenceTimer.Reset(feed.SilenceTimeout)
-			hasGap := false
-			parseErr := stream.Feed(buf[:n], func(received feed.Event) {
-				isNew, isGap := cursor.Accept(received.Number)
-				hasGap = hasGap || isGap
-				if !hasGap && isNew {
-					hasReceived = true
-					if received.List != nil {
-						applied := make(chan struct{})
-						s.post(loopEvent{kind: listReceived, list: received.List, eventNumber: received.Number, listApplied: applied})
-						select {
-						case <-applied:
-						case <-s.done:
-						}
-					}
-				}
-			})
+			isNew, hasGap, parseErr := c.handleBytes(&stream, buf[:n])
+			hasReceived = hasReceived || isNew
 			if parseErr != nil {
 				return hasReceived, parseErr
 			}
@@ -92,3 +137,28 @@
 		}
 	}
 }
+
+// handleBytes parses received bytes and has each new event applied, up to a gap in the event numbers.
+func (c *feedClient) handleBytes(stream *feed.Stream, data []byte) (hasReceived, hasGap bool, err error) {
+	err = stream.Feed(data, func(received feed.Event) {
+		isNew, isGap := c.cursor.Accept(received.Number)
+		if hasGap = hasGap || isGap; hasGap || !isNew {
+			return
+		}
+		hasReceived = true
+		if received.List != nil {
+			c.applyList(received)
+		}
+	})
+	return hasReceived, hasGap, err
+}
+
+// applyList passes a server list to the event loop and waits until it is applied.
+func (c *feedClient) applyList(received feed.Event) {
+	applied := make(chan struct{})
+	c.post(loopEvent{kind: listReceived, list: received.List, eventNumber: received.Number, listApplied: applied})
+	select {
+	case <-applied:
+	case <-c.done:
+	}
+}
--- a/internal/edge/standin/feed.go
+++ b/internal/edge/standin/feed.go
@@ -24,6 +24,7 @@
 	broken           chan struct{} // closed to close the connections
 	truncateNext     bool          // close the connection in the middle of the next event
 	isSilent         bool
+	firstByteDelay   time.Duration
 	requestedCursors []uint64
 }
 
@@ -106,12 +107,24 @@
 	f.isSilent = isSilent
 }
 
+// SetFirstByteDelay makes the channel wait before the first byte of each response from now on.
+func (f *Feed) SetFirstByteDelay(delay time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.firstByteDelay = delay
+}
+
 func (f *Feed) serve(w http.ResponseWriter, r *http.Request) {
 	last, _ := strconv.ParseUint(r.Header.Get("Last-Event-ID"), 10, 64)
 	f.mu.Lock()
 	f.requestedCursors = append(f.requestedCursors, last)
-	broken := f.broken
+	broken, delay := f.broken, f.firstByteDelay
 	f.mu.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-r.Context().Done():
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := w.(http.Flusher).Flush
 	flush()
