edge: a release that was never written waits 10 minutes for a connection, not 30 s

What callers saw: none is known. A call ends while no connection from callers is open, and for 30 s none opens: the release was dropped, and a caller that came back later was never told.

Cause: pendingReleaseTimeout was 30 s for all. Memory is bounded by the number of releases (20,000), not by that time.

Change: 10 minutes for releases that were never written; those written before, which wait after their connection has ended, expire after 30 s as before. Test: TestReleaseAfterQuietTime failed before: "first connection since: got [], want [BYE]".

--- a/internal/edge/access/caller_releases.go
+++ b/internal/edge/access/caller_releases.go
@@ -12,7 +12,8 @@
 const (
 	maxUnconfirmedReleases   = 500
 	maxPendingCallerReleases = 20000
-	pendingReleaseTimeout    = 30 * time.Second
+	unsentReleaseTimeout     = 10 * time.Minute       // how long a release waits that was never written
+	resentReleaseTimeout     = 30 * time.Second       // how long a release waits that was written before
 	releaseResendWindow      = time.Second            // a release is sent again if the connection that it was written to ends within this time
 	anyConnAfter             = 500 * time.Millisecond // a release that has waited this long goes to any connection from callers
 )
@@ -26,7 +27,7 @@
 	message []byte
 	conn    ConnID        // on which the call was received
 	since   time.Duration // when the call ended
-	sentAt  time.Duration
+	sentAt  time.Duration // when it was last written; 0: never
 
 	// needsProvenConn is set while the release was written only to a connection that is neither proven nor the call's own.
 	needsProvenConn bool
@@ -54,11 +55,19 @@
 		n.writeRelease(rel, to)
 		return
 	}
-	if len(n.pendingReleases) < maxPendingCallerReleases && n.now-rel.since <= pendingReleaseTimeout {
+	if len(n.pendingReleases) < maxPendingCallerReleases && !rel.hasExpired(n.now) {
 		n.pendingReleases = append(n.pendingReleases, rel)
 	}
 }
 
+// hasExpired reports whether the release is not worth sending any more.
+func (r *callerRelease) hasExpired(now time.Duration) bool {
+	if r.sentAt == 0 {
+		return now-r.since > unsentReleaseTimeout
+	}
+	return now-r.since > resentReleaseTimeout
+}
+
 // lastUsedConn returns the suitable connection from callers that was used last, or nil.
 func (n *Node) lastUsedConn(isSuitable func(*callerConn) bool) (last *callerConn) {
 	for _, c := range n.callerConns {
@@ -159,7 +168,7 @@
 		return
 	}
 	n.pendingReleases = slices.DeleteFunc(n.pendingReleases, func(rel callerRelease) bool {
-		return n.now-rel.since > pendingReleaseTimeout
+		return rel.hasExpired(n.now)
 	})
 	hasWaited := slices.ContainsFunc(n.pendingReleases, func(rel callerRelease) bool { return n.now-rel.since >= anyConnAfter })
 	if !hasWaited {
--- a/internal/edge/access/caller_releases_test.go
+++ b/internal/edge/access/caller_releases_test.go
@@ -94,3 +94,14 @@
 	h.advance(900 * ms)
 	h.expect("caller", h.receivedByCaller(caller), "[200 BYE]")
 }
+
+// TestReleaseAfterQuietTime guards against a caller that is never told, because no connection from callers was open for
+// minutes after its call ended.
+func TestReleaseAfterQuietTime(t *testing.T) {
+	h, conn := newReleaseScript(t)
+	h.sendFromServer(conn, trunk.TypeRelease, 1, causeParam(trunk.CauseNormal))
+	h.advance(5 * time.Minute)
+	caller := h.openCaller()
+	h.sendFromCaller(caller, formatInvite(2, "dest:0;width:1;via:-1"))
+	h.expect("first connection since", h.receivedByCaller(caller), "[BYE]")
+}
