--- a/internal/edge/report.go
+++ b/internal/edge/report.go
@@ -46,7 +46,8 @@
 	var mem runtime.MemStats
 	runtime.ReadMemStats(&mem)
 	attrs := []slog.Attr{
-		slog.Any("totals", el.node.Totals), slog.Int("open", el.node.OpenCalls()), slog.Int("adopted", el.node.AdoptedCalls()), slog.Int("callers", el.node.CallerConns()),
+		slog.Any("totals", el.node.Totals), slog.Int("open", el.node.OpenCalls()), slog.Int("adopted", el.node.AdoptedCalls()),
+		slog.Int("callers", el.node.CallerConns()),
 		slog.Int64("sockets", el.socketCount.Load()), slog.Int("turns", el.stats.turns), slog.Float64("busy_ms", ms(el.stats.busyTime)),
 		slog.Float64("longest_ms", ms(el.stats.longestTurn)), slog.Uint64("heap_kb", mem.HeapAlloc>>10), slog.Uint64("sys_kb", mem.Sys>>10),
 		slog.Int("goroutines", runtime.NumGoroutine()), slog.Uint64("cursor", el.lastListEvent),
