edge: at the socket limit a connection with an unread request is kept, a silent one closed

What callers saw: with silent clients that come again the moment they are closed, at the limit on descriptors, about seven in ten calls on new connections are closed without an answer.

Cause: accept closed a new connection at once whenever the socket count was over the limit, which it is while the sockets of others are being closed; and the core evicted the longest unused connection without a look whether its request had arrived.

Change: accept waits up to 0.1 s for a socket; a connection with unread input is spared while one of 16 has none.

--- a/internal/edge/access/callers.go
+++ b/internal/edge/access/callers.go
@@ -36,16 +36,40 @@
 	n.callerConns[conn] = &callerConn{id: conn, Conn: admission.Conn{OpenedAt: n.now, LastUsed: n.now}}
 }
 
+// maxEvictionChecks limits the connections that are asked for unread input for one eviction.
+const maxEvictionChecks = 16
+
 // evictionCandidate returns the connection to evict for a new one, or nil. It never has an open set-up;
-// connections that never carried an answered call go first.
+// connections that never carried an answered call go first. One on which a request waits to be read is spared.
 func (n *Node) evictionCandidate() *callerConn {
-	var candidate *callerConn
+	var spared map[*callerConn]bool
+	first := n.firstToEvict(nil)
+	if first == nil || n.cfg.HasUnreadInput == nil {
+		return first
+	}
+	for candidate := first; candidate != nil && len(spared) < maxEvictionChecks; candidate = n.firstToEvict(spared) {
+		if !n.cfg.HasUnreadInput(candidate.id) {
+			return candidate
+		}
+		if spared == nil {
+			spared = map[*callerConn]bool{}
+		}
+		spared[candidate] = true
+	}
+	return first
+}
+
+// firstToEvict returns the first connection to evict, except those that are spared, or nil.
+func (n *Node) firstToEvict(spared map[*callerConn]bool) (first *callerConn) {
 	for _, c := range n.callerConns {
-		if c.OpenCalls == 0 && (candidate == nil || c.EvictBefore(&candidate.Conn) || !candidate.EvictBefore(&c.Conn) && c.id < candidate.id) {
-			candidate = c
+		if c.OpenCalls > 0 || spared[c] {
+			continue
+		}
+		if first == nil || c.EvictBefore(&first.Conn) || !first.EvictBefore(&c.Conn) && c.id < first.id {
+			first = c
 		}
 	}
-	return candidate
+	return first
 }
 
 // closeCaller closes a connection from callers.
--- a/internal/edge/access/node.go
+++ b/internal/edge/access/node.go
@@ -71,6 +71,10 @@
 	// HasCallerClosed reports whether a caller has closed its connection although CallerClosed has not been
 	// called yet. It is called right before a set-up is written. Nil means never.
 	HasCallerClosed func(ConnID) bool
+
+	// HasUnreadInput reports whether bytes have arrived on a connection from callers that have not been passed to the
+	// node. It is called before a connection is evicted. Nil means never.
+	HasUnreadInput func(ConnID) bool
 }
 
 // Node is the state of an access node.
--- a/internal/edge/access/node_test.go
+++ b/internal/edge/access/node_test.go
@@ -529,6 +529,32 @@
 	}
 }
 
+// TestEvictionSparesUnreadInput guards against requests that are lost with their connection: at the limit, connections that
+// have sent nothing are evicted before one whose request waits to be read, although it is older.
+func TestEvictionSparesUnreadInput(t *testing.T) {
+	cfg := testConfig()
+	unread := map[ConnID]bool{}
+	cfg.HasUnreadInput = func(conn ConnID) bool { return unread[conn] }
+	h := newHarness(t, cfg, "s-1")
+	waiting := h.openCaller()
+	unread[waiting] = true
+	h.advance(ms)
+	silent := h.openCaller()
+	for range 3 * cfg.MaxCallerConns {
+		h.openCaller()
+	}
+	if h.closed[waiting] || !h.closed[silent] {
+		t.Errorf("closed: the connection with a request %v, the silent one %v; want false, true", h.closed[waiting], h.closed[silent])
+	}
+	for range cfg.MaxCallerConns { // all have sent something: the number of connections is limited all the same
+		unread[h.openCaller()] = true
+	}
+	unread[h.openCaller()] = true
+	if n := h.node.CallerConns(); n != cfg.MaxCallerConns {
+		t.Errorf("%d connections are open, want %d", n, cfg.MaxCallerConns)
+	}
+}
+
 // TestStop checks that a stopping node accepts calls as before, has answered all of them by its deadline, and does
 // not end standing calls.
 func TestStop(t *testing.T) {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -44,6 +44,12 @@
 	reloadRetryPeriod   = 4 * time.Second
 )
 
+// At the limit on sockets, how often and after what time a new connection is tried again.
+const (
+	acceptRetries       = 100
+	acceptRetryInterval = time.Millisecond
+)
+
 type eventKind uint8
 
 const (
@@ -149,7 +155,8 @@
 	loop.maxSockets = int64(maxSockets)
 	node, err := access.New(access.Config{Module: cfg.Module, Edge: cfg.Edge, Seed: cfg.Seed, MaxCallerConns: maxCallerConns,
 		MaxTrunksPerServer: 4, MaxTrunks: maxSockets - maxCallerConns, MaxAdoptedCalls: admission.MaxAdoptedCalls(cfg.Limits.MemoryBytes),
-		ClockZeroUnixMilli: state.startedAt.Add(-clockStart).UnixMilli(), HasCallerClosed: loop.hasCallerClosed}, state.clock())
+		ClockZeroUnixMilli: state.startedAt.Add(-clockStart).UnixMilli(), HasCallerClosed: loop.hasCallerClosed,
+		HasUnreadInput: loop.hasUnreadInput}, state.clock())
 	if err != nil {
 		return err
 	}
@@ -185,6 +192,12 @@
 	return sock != nil && sock.hasPeerClosed()
 }
 
+// hasUnreadInput reports whether a caller has sent bytes that the node has not handled.
+func (el *eventLoop) hasUnreadInput(conn access.ConnID) bool {
+	sock := el.sockets[conn]
+	return sock != nil && sock.hasUnreadInput()
+}
+
 // applyLimits applies the resource limits of the platform to the process.
 func applyLimits(limits settings.Limits) {
 	if limits.Cores > 0 && os.Getenv("GOMAXPROCS") == "" {
@@ -243,8 +256,7 @@
 			continue
 		}
 		_ = conn.SetKeepAlive(false)
-		if el.socketCount.Add(1) > el.maxSockets {
-			el.socketCount.Add(-1)
+		if !el.waitForSocket() {
 			conn.Close()
 			continue
 		}
@@ -255,6 +267,19 @@
 	}
 }
 
+// waitForSocket counts one more socket. At the limit it waits for the event loop to close others, so that a request that has
+// arrived on the new connection is not lost with it. It returns false if none was closed in time.
+func (el *eventLoop) waitForSocket() bool {
+	for range acceptRetries {
+		if el.socketCount.Add(1) <= el.maxSockets {
+			return true
+		}
+		el.socketCount.Add(-1)
+		time.Sleep(acceptRetryInterval)
+	}
+	return false
+}
+
 // run is the event loop, the only goroutine that uses the node.
 func (el *eventLoop) run(signals <-chan os.Signal) {
 	timer := time.NewTimer(0)
--- a/internal/edge/socket.go
+++ b/internal/edge/socket.go
@@ -36,6 +36,8 @@
 	eventHandled    chan struct{} // signals that the loop has handled the last event of the reader
 	isClosed        atomic.Bool   // the reader sends no more events to the loop
 	isUnflushed     bool
+
+	hasUnhandledInput atomic.Bool // the reader has read bytes that the loop has not handled
 }
 
 func newSocket(id access.ConnID, conn *net.TCPConn, isTrunk bool) (*socket, error) {
@@ -85,6 +87,20 @@
 	return err == nil && isClosed // if the connection is closed on this side, the node already knows
 }
 
+// hasUnreadInput reports whether bytes have arrived that the loop has not handled.
+func (s *socket) hasUnreadInput() bool {
+	if s.hasUnhandledInput.Load() {
+		return true
+	}
+	var isReadable bool
+	err := s.raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		isReadable = err == nil && n > 0 && fds[0].Revents == unix.POLLIN
+	})
+	return err == nil && isReadable
+}
+
 // closeConn closes a connection. Unless immediately is set, it sends a FIN so that the peer can still read what was
 // written, and the reading goroutine discards input for a short time before it closes the socket.
 func (s *socket) closeConn(immediately bool) {
@@ -123,6 +139,7 @@
 			event.kind = trunkRead
 		}
 		if n > 0 {
+			s.hasUnhandledInput.Store(true)
 			if s.isTrunk {
 				trunkStream.Feed(buf[:n])
 			} else {
@@ -155,6 +172,7 @@
 				return
 			}
 			<-s.eventHandled
+			s.hasUnhandledInput.Store(more)
 			if s.isClosed.Load() {
 				break
 			}
