edge: state that can be derived is derived, and call ids are kept as fixed text

A server's phase and start stood twice (as listed and as in force); whether a release needs a proven connection follows from its connection; two timers watched one request of the command channel; the two texts that a call keeps were copied by a special step when it begins to stand; the wait of accept stood in the shell.

Change: ServerInfo holds phase and start as the module knows them (an entry with an older start no longer lowers it); mayIgnore derives; one timer; ids and numbers are 16 bytes of the call; lookups of ended calls only where used; the wait is in internal/edge/admission. Tests of internal/edge pass with the race detector.

--- a/internal/edge/access/address_test.go
+++ b/internal/edge/access/address_test.go
@@ -149,9 +149,9 @@
 	s.expect("released with the return", s.releasedCalls(), "[2]")
 	s.sendFromCaller(s.caller, formatInvite(3, "dest:0;width:1;via:-1"))
 	s.advance(1500 * ms) // a server that has just started gets one set-up a second
-	if pending := s.node.servers["s-1"].pendingSetUps(); pending != 1 || s.node.servers["s-2"].phase == larkrouter.Ready {
+	if pending := s.node.servers["s-1"].pendingSetUps(); pending != 1 || s.node.servers["s-2"].info.Phase == larkrouter.Ready {
 		t.Errorf("%d set-ups are pending at the server that is back, phase of the other %v; want 1, gone", pending,
-			s.node.servers["s-2"].phase)
+			s.node.servers["s-2"].info.Phase)
 	}
 }
 
--- a/internal/edge/access/attempts.go
+++ b/internal/edge/access/attempts.go
@@ -42,7 +42,7 @@
 	if action.Timeout > 0 {
 		att.expires = min(call.deadline, n.now+action.Timeout)
 	}
-	hasDrained := srv.phase != larkrouter.Ready && n.now-srv.withdrawnAt > n.cfg.Edge.DrainGrace
+	hasDrained := srv.info.Phase != larkrouter.Ready && n.now-srv.withdrawnAt > n.cfg.Edge.DrainGrace
 	if call.current != nil || n.now >= att.expires || hasDrained ||
 		n.cfg.Module.MaxAttempts > 0 && call.attempts > n.cfg.Module.MaxAttempts {
 		n.log(LogEntry{Event: "attempt kept back", Server: srv.id, Call: call.id})
@@ -92,7 +92,7 @@
 	msg := trunk.Message{Type: trunk.TypeSetUp, Call: call.id, Params: []trunk.Param{
 		{Code: trunk.ParamClass, Value: []byte(call.setUp.Class)},
 		{Code: trunk.ParamTimeLeft, Value: strconv.AppendInt(nil, max(1, (att.expires-n.now).Milliseconds()), 10)},
-		{Code: trunk.ParamNumber, Value: []byte(call.calledNumber)},
+		{Code: trunk.ParamNumber, Value: call.calledNumber[:]},
 		{Code: trunk.ParamDescription, Value: call.setUp.Description}}}
 	data, err := msg.Append(nil)
 	if err != nil { // longer than servers accept
--- a/internal/edge/access/caller_releases.go
+++ b/internal/edge/access/caller_releases.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	codec "larkrouter/internal/edge/caller"
 )
 
 // Limits on releases that callers have not received or confirmed.
@@ -28,16 +26,12 @@
 	conn    ConnID        // on which the call was received
 	since   time.Duration // when the call ended
 	sentAt  time.Duration // when it was last written; 0: never
-
-	// needsProvenConn is set while the release was written only to a connection that is neither proven nor the call's own.
-	needsProvenConn bool
 }
 
 // releaseAtCaller notifies a caller of the end of its call.
 func (n *Node) releaseAtCaller(call *callState, cause int) {
 	n.Totals.CallerReleases++
-	rel := callerRelease{callID: call.id, message: codec.Release(call.callID, call.calledNumber, cause), conn: call.conn,
-		since: n.now}
+	rel := callerRelease{callID: call.id, message: call.release(cause), conn: call.conn, since: n.now}
 	if c := n.callerConns[call.conn]; c != nil {
 		n.writeRelease(rel, c)
 		return
@@ -89,7 +83,7 @@
 // writeRelease writes a release to a connection and remembers it until it is confirmed. On a proven connection the oldest
 // release gives way, and one that was written a while ago has been read.
 func (n *Node) writeRelease(rel callerRelease, to *callerConn) {
-	rel.sentAt, rel.needsProvenConn = n.now, !to.Proven && to.id != rel.conn
+	rel.sentAt = n.now
 	isOldestRead := to.Proven && len(to.unconfirmedReleases) > 0 && n.now-to.unconfirmedReleases[0].sentAt >= releaseResendWindow
 	if isOldestRead || !to.hasRoomForRelease() {
 		to.unconfirmedReleases = slices.Clone(to.unconfirmedReleases[1:])
@@ -107,7 +101,7 @@
 // less than window before, and those that still need a proven connection.
 func (n *Node) resendReleases(ended *callerConn, window time.Duration) {
 	for _, rel := range ended.unconfirmedReleases {
-		if rel.needsProvenConn || n.now-rel.sentAt < window {
+		if ended.mayIgnore(&rel) || n.now-rel.sentAt < window {
 			n.sendRelease(rel)
 		}
 	}
@@ -123,15 +117,16 @@
 func (n *Node) markProven(c *callerConn) {
 	if !c.Proven {
 		c.Proven = true
-		for i := range c.unconfirmedReleases {
-			c.unconfirmedReleases[i].needsProvenConn = false
-		}
 		n.takeUnprovenReleases()
 	}
 	n.sendPendingReleases(c)
 }
 
-// takeUnprovenReleases moves the unconfirmed releases of connections that are not proven to those that wait.
+// mayIgnore reports whether the client of the connection may have ignored a release written to it: the connection is neither
+// proven nor the call's own.
+func (c *callerConn) mayIgnore(rel *callerRelease) bool { return !c.Proven && c.id != rel.conn }
+
+// takeUnprovenReleases moves the releases that clients may have ignored to those that wait.
 func (n *Node) takeUnprovenReleases() {
 	var unproven []*callerConn
 	for _, c := range n.callerConns {
@@ -141,12 +136,12 @@
 	}
 	slices.SortFunc(unproven, func(a, b *callerConn) int { return cmp.Compare(a.id, b.id) })
 	for _, c := range unproven {
-		for _, rel := range c.unconfirmedReleases {
-			if rel.needsProvenConn {
+		c.unconfirmedReleases = slices.DeleteFunc(c.unconfirmedReleases, func(rel callerRelease) bool {
+			if c.mayIgnore(&rel) {
 				n.pendingReleases = append(n.pendingReleases, rel)
 			}
-		}
-		c.unconfirmedReleases = slices.DeleteFunc(c.unconfirmedReleases, func(rel callerRelease) bool { return rel.needsProvenConn })
+			return c.mayIgnore(&rel)
+		})
 	}
 }
 
--- a/internal/edge/access/callers.go
+++ b/internal/edge/access/callers.go
@@ -172,7 +172,6 @@
 			n.releaseAtCaller(call, 16)
 		}
 	case msg.Method == sip.BYE:
-		_, hasEnded := n.endedCall(id)
 		switch call := n.callsByID[id]; {
 		case call != nil && call.isStanding:
 			n.releaseByCaller(call, codec.ParseCause(msg.Get("Reason")))
@@ -181,7 +180,7 @@
 			n.Totals.Cancelled++
 			n.cancelCall(call)
 			n.write(conn, codec.Response(msg, 200, 0, nil))
-		case hasEnded:
+		case n.hasEnded(id):
 			n.dropRelease(id)
 			n.write(conn, codec.Response(msg, 200, 0, nil))
 		default:
--- a/internal/edge/access/calls.go
+++ b/internal/edge/access/calls.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"strings"
 	"time"
 
 	"larkrouter"
@@ -17,8 +16,8 @@
 type callState struct {
 	number          uint64 // number by which the module knows the call
 	id              uint64
-	callID          string       // Call-ID as received
-	calledNumber    string       // number called, as received
+	callID          hexText      // Call-ID as received
+	calledNumber    hexText      // number called, as received
 	conn            ConnID       // connection on which it was received
 	request         *sip.Message // INVITE; nil once the call stands
 	deadline        time.Duration
@@ -34,6 +33,15 @@
 	setUp           *codec.SetUp  // parsed INVITE; nil once the call stands
 }
 
+// hexText is the text of a caller's id or called number. It is copied from the message, because a string would keep the text
+// of the whole header in memory for as long as the call stands.
+type hexText [16]byte
+
+func newHexText(text string) (t hexText) {
+	copy(t[:], text)
+	return t
+}
+
 // handleInvite starts a new call, or registers a standing one if the INVITE names its call server.
 func (n *Node) handleInvite(c *callerConn, receivedAt time.Duration, msg *sip.Message) {
 	setUp, err := codec.ParseSetUp(msg)
@@ -52,7 +60,7 @@
 		n.adoptCall(c, setUp, msg, existing)
 		return
 	}
-	_, hasEnded := n.endedCall(setUp.ID)
+	hasEnded := n.hasEnded(setUp.ID)
 	if isDuplicate || hasEnded || !c.CanOpenCall() ||
 		n.cfg.Edge.MaxOpenCalls > 0 && n.openCallCount >= n.cfg.Edge.MaxOpenCalls {
 		status := 503
@@ -65,7 +73,8 @@
 	}
 	n.Totals.Calls++
 	n.lastCallNumber++
-	call := &callState{number: n.lastCallNumber, id: setUp.ID, callID: msg.Get("Call-ID"), calledNumber: setUp.Number, conn: c.id,
+	call := &callState{number: n.lastCallNumber, id: setUp.ID, callID: newHexText(msg.Get("Call-ID")),
+		calledNumber: newHexText(setUp.Number), conn: c.id,
 		request: msg, deadline: receivedAt + setUp.TimeLeft, setUp: setUp}
 	if n.stopDeadline > 0 {
 		call.deadline = max(n.now, min(call.deadline, n.stopDeadline))
@@ -129,14 +138,12 @@
 		n.markProven(c)
 	}
 	n.timerHeap.Stop(&call.timer)
-	call.setStanding(n.now)
+	call.isStanding, call.standingSince, call.request, call.setUp = true, n.now, nil, nil
 }
 
-// setStanding records that the call stands and drops its request, which a call that stands may outlive by far.
-func (call *callState) setStanding(now time.Duration) {
-	call.isStanding, call.standingSince, call.request, call.setUp = true, now, nil, nil
-	// As received, both are parts of the text of the whole request.
-	call.callID, call.calledNumber = strings.Clone(call.callID), strings.Clone(call.calledNumber)
+// release returns the encoded release of the call for its caller.
+func (call *callState) release(cause int) []byte {
+	return codec.Release(string(call.callID[:]), string(call.calledNumber[:]), cause)
 }
 
 // removeCall removes a call and remembers that it has ended.
@@ -177,8 +184,8 @@
 		return
 	}
 	n.lastCallNumber++
-	call := &callState{number: n.lastCallNumber, id: setUp.ID, callID: msg.Get("Call-ID"), calledNumber: setUp.Number, conn: c.id}
-	call.setStanding(n.now)
+	call := &callState{number: n.lastCallNumber, id: setUp.ID, callID: newHexText(msg.Get("Call-ID")),
+		calledNumber: newHexText(setUp.Number), conn: c.id, isStanding: true, standingSince: n.now}
 	srv := n.servers[setUp.StandingAt]
 	if ended, hasEnded := n.endedCall(setUp.ID); hasEnded {
 		n.releaseAtCaller(call, int(cmp.Or(ended.cause, 41)))
@@ -209,7 +216,7 @@
 		if n.callerConns[call.conn] != nil {
 			to = call.conn
 		}
-		n.write(to, codec.Release(call.callID, call.calledNumber, trunk.CauseReset))
+		n.write(to, call.release(trunk.CauseReset))
 	}
 }
 
--- a/internal/edge/access/node.go
+++ b/internal/edge/access/node.go
@@ -298,6 +298,11 @@
 	maxEndedCalls  = 20000
 )
 
+func (n *Node) hasEnded(id uint64) bool {
+	_, hasEnded := n.endedCall(id)
+	return hasEnded
+}
+
 func newEndedCalls() endedCalls { return endedCalls{byID: map[uint64]endedCall{}} }
 
 func (e *endedCalls) add(id uint64, ended endedCall) {
--- a/internal/edge/access/server_list.go
+++ b/internal/edge/access/server_list.go
@@ -24,21 +24,22 @@
 	}
 	for _, srv := range n.serverOrder {
 		if list.Complete && !listed[srv] {
-			srv.info.Phase = larkrouter.Gone
+			srv.listedPhase = larkrouter.Gone
 		}
 	}
 	for _, srv := range n.serverOrder {
-		if n.checkReplaced(srv) || listed[srv] {
-			update.Servers = append(update.Servers, srv.currentInfo())
+		isNewlyReplaced := n.checkReplaced(srv)
+		n.updatePhase(srv)
+		if listed[srv] || isNewlyReplaced {
+			update.Servers = append(update.Servers, srv.info)
 		}
-		n.setPhase(srv, srv.currentInfo().Phase)
 	}
 	for _, srv := range restarted {
 		n.endCallsBeforeStart(srv)
 	}
 	n.notifyModule(update)
 	for _, srv := range slices.Clone(n.serverOrder) {
-		if srv.phase != larkrouter.Ready {
+		if srv.info.Phase != larkrouter.Ready {
 			n.dropWaitingSetUps(srv)
 		}
 		n.maintainServer(srv)
@@ -66,26 +67,27 @@
 func (n *Node) applyMember(member *feed.Server) (srv *server, hasStarted bool) {
 	if srv = n.servers[member.ID]; srv == nil {
 		n.lastServerNumber++
-		srv = &server{id: member.ID, number: n.lastServerNumber, phase: larkrouter.Ready, addr: member.AddrPort,
+		srv = &server{id: member.ID, number: n.lastServerNumber, addr: member.AddrPort, info: larkrouter.ServerInfo{Phase: larkrouter.Ready},
 			reachability: reachability.New(n.cfg.Reachability, n.now), standing: map[*callState]struct{}{}}
 		n.servers[member.ID], n.serversByNumber[srv.number] = srv, srv
 		n.serverOrder = append(n.serverOrder, srv)
 	}
-	started := n.startTime(srv, member.StartedUnixMilli)
 	if hasStarted = member.StartedUnixMilli > srv.startedUnixMilli; hasStarted {
-		srv.startedUnixMilli, srv.started, srv.isReplaced = member.StartedUnixMilli, started, false
+		srv.startedUnixMilli, srv.isReplaced = member.StartedUnixMilli, false
+		srv.info.Started = min(n.now, max(1, time.Duration(member.StartedUnixMilli-n.cfg.ClockZeroUnixMilli)*time.Millisecond))
 	}
 	if member.AddrPort.IsValid() && member.AddrPort != srv.addr {
 		srv.addr, srv.isReplaced = member.AddrPort, false
 		n.closeTrunks(srv, "the address has changed")
 	}
+	srv.listedPhase = parsePhase(member.Phase)
 	srv.info = larkrouter.ServerInfo{ID: srv.number, Zone: slices.Index(n.cfg.Edge.Zones, member.Zone),
-		Kind: slices.Index(n.cfg.Edge.ServerKinds, member.Kind), Number: member.Cell, Phase: listedPhase(member.Phase),
-		Weight: member.Size, Started: started}
+		Kind: slices.Index(n.cfg.Edge.ServerKinds, member.Kind), Number: member.Cell, Phase: srv.info.Phase,
+		Weight: member.Size, Started: srv.info.Started}
 	return srv, hasStarted
 }
 
-func listedPhase(phase string) larkrouter.Phase {
+func parsePhase(phase string) larkrouter.Phase {
 	switch phase {
 	case feed.PhaseDraining:
 		return larkrouter.Draining
@@ -95,38 +97,21 @@
 	return larkrouter.Ready
 }
 
-// startTime returns a start that the list reports for a server, by the node's clock: 0 if it reports none, and no later
-// than the time of its first report.
-func (n *Node) startTime(srv *server, unixMilli int64) time.Duration {
-	switch {
-	case unixMilli <= 0:
-		return 0
-	case unixMilli == srv.startedUnixMilli:
-		return srv.started
-	}
-	return min(n.now, max(1, time.Duration(unixMilli-n.cfg.ClockZeroUnixMilli)*time.Millisecond))
-}
-
-// currentInfo returns what the list says of the server, except that a replaced server is gone whatever the list says: the
+// updatePhase applies the phase that the list reports for a server. A replaced server is gone whatever the list says: the
 // list reports the end of a process late.
-func (s *server) currentInfo() larkrouter.ServerInfo {
-	info := s.info
-	if s.isReplaced {
-		info.Phase = larkrouter.Gone
+func (n *Node) updatePhase(srv *server) {
+	phase := srv.listedPhase
+	if srv.isReplaced {
+		phase = larkrouter.Gone
 	}
-	return info
-}
-
-// setPhase applies the phase that the list reports for a server.
-func (n *Node) setPhase(srv *server, phase larkrouter.Phase) {
-	if phase == srv.phase {
+	if phase == srv.info.Phase {
 		return
 	}
 	n.log(LogEntry{Event: "server " + phaseTexts[phase], Server: srv.id, Count: len(srv.standing)})
-	if srv.phase = phase; phase == larkrouter.Ready {
-		return
+	srv.info.Phase = phase
+	if phase != larkrouter.Ready {
+		srv.withdrawnAt = n.now
 	}
-	srv.withdrawnAt = n.now
 }
 
 var phaseTexts = map[larkrouter.Phase]string{larkrouter.Draining: "drains", larkrouter.Ready: "is up", larkrouter.Gone: "is gone"}
@@ -138,7 +123,7 @@
 		return false
 	}
 	for _, other := range n.serverOrder {
-		if other.addr == srv.addr && other.info.Phase != larkrouter.Gone && other.startedUnixMilli > srv.startedUnixMilli {
+		if other.addr == srv.addr && other.listedPhase != larkrouter.Gone && other.startedUnixMilli > srv.startedUnixMilli {
 			n.log(LogEntry{Event: "server replaced", Server: srv.id, Cause: "address taken by " + other.id, Count: len(srv.standing)})
 			srv.isReplaced = true
 			return true
@@ -150,7 +135,7 @@
 // serverAtAddressOf returns the server in service that has the address of a server that is gone, or nil.
 func (n *Node) serverAtAddressOf(gone *server) (found *server) {
 	for _, other := range n.serverOrder {
-		if other != gone && other.phase != larkrouter.Gone && other.addr == gone.addr &&
+		if other != gone && other.info.Phase != larkrouter.Gone && other.addr == gone.addr &&
 			(found == nil || other.startedUnixMilli > found.startedUnixMilli) {
 			found = other
 		}
@@ -162,7 +147,7 @@
 // successor's start stand at the successor. A call that its caller has named there stood at the old process.
 func (n *Node) endCallsOfReplaced(srv, successor *server) {
 	for _, call := range srv.standingCalls() {
-		if call.adoptedIn == nil && successor.started > 0 && call.standingSince >= successor.started {
+		if call.adoptedIn == nil && successor.info.Started > 0 && call.standingSince >= successor.info.Started {
 			delete(srv.standing, call)
 			call.server = successor
 			successor.standing[call] = struct{}{}
@@ -175,10 +160,10 @@
 // endCallsBeforeStart ends the calls that stood before the server's last start: they ended with its previous process.
 func (n *Node) endCallsBeforeStart(srv *server) {
 	srv.pendingReleases = slices.DeleteFunc(srv.pendingReleases, func(release serverRelease) bool {
-		return release.standingSince < srv.started
+		return release.standingSince < srv.info.Started
 	})
 	for _, call := range srv.standingCalls() {
-		if call.standingSince < srv.started {
+		if call.standingSince < srv.info.Started {
 			n.endLostCall(call, "the server has restarted")
 		}
 	}
--- a/internal/edge/access/servers.go
+++ b/internal/edge/access/servers.go
@@ -16,12 +16,11 @@
 	id               string
 	number           uint32
 	addr             netip.AddrPort
-	info             larkrouter.ServerInfo // as last listed
-	phase            larkrouter.Phase
-	isReplaced       bool          // another server has started at its address, so the process with this start has ended
-	withdrawnAt      time.Duration // when the list last reported it as draining or gone
-	startedUnixMilli int64         // latest start that the list has reported; 0: none
-	started          time.Duration // the same start by the node's clock, no later than it was reported
+	info             larkrouter.ServerInfo // as the module knows it; Started is no later than it was first listed
+	listedPhase      larkrouter.Phase      // as listed; a replaced server is gone before the list says so
+	isReplaced       bool                  // another server has started at its address, so the process with this start has ended
+	withdrawnAt      time.Duration         // when it was last reported as draining or gone
+	startedUnixMilli int64                 // latest start that the list has reported; 0: none
 	reachability     *reachability.State
 	demand           reachability.Demand
 	trunks           []*trunkConn // open or being dialed
@@ -62,7 +61,7 @@
 // maintainServer opens and closes trunks to a server as needed and ends its calls once the server is known to
 // be dead.
 func (n *Node) maintainServer(srv *server) {
-	if srv.phase == larkrouter.Gone && len(srv.standing) == 0 {
+	if srv.info.Phase == larkrouter.Gone && len(srv.standing) == 0 {
 		if len(srv.trunks) > 0 && n.now-srv.withdrawnAt > time.Second {
 			n.closeTrunks(srv, "the server is gone")
 		}
@@ -73,13 +72,13 @@
 		}
 		return
 	}
-	if srv.phase == larkrouter.Gone {
+	if srv.info.Phase == larkrouter.Gone {
 		if successor := n.serverAtAddressOf(srv); successor != nil {
 			n.endCallsOfReplaced(srv, successor)
 			return
 		}
 	}
-	if cause, isDead := srv.reachability.IsDead(n.now, srv.phase == larkrouter.Gone); isDead && len(srv.standing) > 0 {
+	if cause, isDead := srv.reachability.IsDead(n.now, srv.info.Phase == larkrouter.Gone); isDead && len(srv.standing) > 0 {
 		n.endLostCalls(srv, cause, srv.reachability.IsSilent())
 	}
 	if srv.reachability.IsUnresponsive(n.now) && slices.ContainsFunc(srv.trunks, func(t *trunkConn) bool { return t.isOpen }) {
@@ -88,7 +87,7 @@
 	}
 	srv.demand.Observe(n.now, srv.pendingSetUps())
 	wanted := srv.demand.Connections(n.cfg.MaxTrunksPerServer)
-	if srv.phase == larkrouter.Gone {
+	if srv.info.Phase == larkrouter.Gone {
 		wanted = 1
 	}
 	// Leave descriptors for callers and the command channel.
@@ -189,7 +188,7 @@
 	}
 	var reports []ServerReport
 	for _, srv := range n.serverOrder {
-		report := ServerReport{Server: srv.id, Phase: phaseTexts[srv.phase], WaitingForTrunk: len(srv.queue),
+		report := ServerReport{Server: srv.id, Phase: phaseTexts[srv.info.Phase], WaitingForTrunk: len(srv.queue),
 			StandingCalls: len(srv.standing), Counts: srv.counts, View: views[srv.number]}
 		for _, t := range srv.trunks {
 			if t.isOpen {
--- a/internal/edge/access/trunks.go
+++ b/internal/edge/access/trunks.go
@@ -204,7 +204,6 @@
 	}
 	n.write(t.id, encodeMessage(trunk.TypeReleaseAck, msg.Call, 0))
 	call := n.callsByID[msg.Call]
-	_, hasEnded := n.endedCall(msg.Call)
 	switch {
 	case call != nil && call.isStanding && call.server == srv:
 		event := larkrouter.AttemptResult{Call: call.number, Attempt: call.standingAttempt, Outcome: larkrouter.Reset,
@@ -215,7 +214,7 @@
 		n.removeCall(call)
 		n.releaseAtCaller(call, int(cmp.Or(cause, trunk.CauseReset)))
 		n.notifyModule(event)
-	case call == nil && !hasEnded: // of a previous run of the node; its caller may still name it
+	case call == nil && !n.hasEnded(msg.Call): // of a previous run of the node; its caller may still name it
 		n.Totals.UnknownCalls++
 		n.releasedUnknown.add(msg.Call, endedCall{n.now, cmp.Or(cause, trunk.CauseReset)})
 	}
--- a/internal/edge/admission/admission.go
+++ b/internal/edge/admission/admission.go
@@ -16,6 +16,13 @@
 	maxOpenCalls    = 256                     // set-ups open on one connection
 )
 
+// At the limit on sockets a new connection waits for another one to close, so that a request that has arrived on it is not
+// lost with it.
+const (
+	MaxAcceptWait       = 100 * time.Millisecond
+	AcceptRetryInterval = time.Millisecond
+)
+
 // Conn is the state of a connection from callers.
 type Conn struct {
 	OpenedAt, LastUsed time.Duration
--- a/internal/edge/feedclient.go
+++ b/internal/edge/feedclient.go
@@ -21,13 +21,15 @@
 	cursor *feed.Cursor
 	limits feed.RequestLimits
 
-	connectedAt time.Time // when the connection of the current request opened
+	// State of the current request.
+	connectedAt  time.Time
+	hasFirstByte bool
+	silence      *time.Timer // ends the request
 }
 
 var (
-	errGap         = errors.New("gap in the event numbers")
-	errNoFirstByte = errors.New("no first byte in time")
-	errSilent      = errors.New("silent for too long")
+	errGap    = errors.New("gap in the event numbers")
+	errSilent = errors.New("silent for too long")
 )
 
 // followFeed reads the command channel at an address until the context ends. It passes the events to the event
@@ -58,7 +60,7 @@
 func (c *feedClient) adjustLimits(err error) {
 	var opErr *net.OpError
 	switch {
-	case errors.Is(err, errNoFirstByte):
+	case errors.Is(err, errSilent) && !c.hasFirstByte:
 		c.limits.FirstByteTimedOut()
 	case errors.As(err, &opErr) && opErr.Op == "dial" && opErr.Timeout():
 		c.limits.ConnectTimedOut()
@@ -70,11 +72,12 @@
 func (c *feedClient) request(ctx context.Context) (hasReceived bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	firstByteTimer := time.AfterFunc(c.limits.Connect+c.limits.FirstByte, func() { cancel(errNoFirstByte) })
-	defer firstByteTimer.Stop()
+	c.hasFirstByte = false
+	c.silence = time.AfterFunc(c.limits.Connect+c.limits.FirstByte, func() { cancel(errSilent) })
+	defer c.silence.Stop()
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
 		c.connectedAt = time.Now()
-		firstByteTimer.Reset(c.limits.FirstByte)
+		c.silence.Reset(c.limits.FirstByte)
 	}})
 	req, err := http.NewRequestWithContext(traced, http.MethodGet, "http://"+c.addr+"/cmd/next", nil)
 	if err != nil {
@@ -92,7 +95,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return false, fmt.Errorf("GET /cmd/next: status must be 200, got %s", resp.Status)
 	}
-	hasReceived, err = c.readEvents(resp.Body, firstByteTimer, cancel)
+	hasReceived, err = c.readEvents(resp.Body)
 	return hasReceived, causeOf(ctx, err)
 }
 
@@ -105,24 +108,17 @@
 }
 
 // readEvents handles the events of a response until it ends, is silent for too long, or has a gap in its events.
-func (c *feedClient) readEvents(body io.Reader, firstByteTimer *time.Timer, cancel context.CancelCauseFunc) (hasReceived bool, err error) {
+func (c *feedClient) readEvents(body io.Reader) (hasReceived bool, err error) {
 	var stream feed.Stream
 	var buf [4096]byte
-	var silenceTimer *time.Timer
-	defer func() {
-		if silenceTimer != nil {
-			silenceTimer.Stop()
-		}
-	}()
 	for {
 		n, err := body.Read(buf[:])
 		if n > 0 {
-			if silenceTimer == nil {
-				firstByteTimer.Stop()
+			if !c.hasFirstByte {
+				c.hasFirstByte = true
 				c.limits.FirstByteReceived(time.Since(c.connectedAt))
-				silenceTimer = time.AfterFunc(feed.SilenceTimeout, func() { cancel(errSilent) })
 			}
-			silenceTimer.Reset(feed.SilenceTimeout)
+			c.silence.Reset(feed.SilenceTimeout)
 			isNew, hasGap, parseErr := c.handleBytes(&stream, buf[:n])
 			hasReceived = hasReceived || isNew
 			if parseErr != nil {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -44,12 +44,6 @@
 	reloadRetryPeriod   = 4 * time.Second
 )
 
-// At the limit on sockets, how often and after what time a new connection is tried again.
-const (
-	acceptRetries       = 100
-	acceptRetryInterval = time.Millisecond
-)
-
 type eventKind uint8
 
 const (
@@ -270,14 +264,15 @@
 // waitForSocket counts one more socket. At the limit it waits for the event loop to close others, so that a request that has
 // arrived on the new connection is not lost with it. It returns false if none was closed in time.
 func (el *eventLoop) waitForSocket() bool {
-	for range acceptRetries {
+	for deadline := time.Now().Add(admission.MaxAcceptWait); ; time.Sleep(admission.AcceptRetryInterval) {
 		if el.socketCount.Add(1) <= el.maxSockets {
 			return true
 		}
 		el.socketCount.Add(-1)
-		time.Sleep(acceptRetryInterval)
+		if time.Now().After(deadline) {
+			return false
+		}
 	}
-	return false
 }
 
 // run is the event loop, the only goroutine that uses the node.
--- a/internal/edge/socket.go
+++ b/internal/edge/socket.go
@@ -139,10 +139,10 @@
 			event.kind = trunkRead
 		}
 		if n > 0 {
-			s.hasUnhandledInput.Store(true)
 			if s.isTrunk {
 				trunkStream.Feed(buf[:n])
 			} else {
+				s.hasUnhandledInput.Store(true)
 				callerStream.Feed(buf[:n])
 			}
 		}
