--- a/internal/edge/access/adopted_test.go
+++ b/internal/edge/access/adopted_test.go
@@ -49,9 +49,10 @@
 func TestCallBeyondTheLimitIsReleased(t *testing.T) {
 	cfg := testConfig()
 	cfg.MaxAdoptedCalls = 4
-	runScript(newHarness(t, cfg, "s-1"), `a name 1; a name 2; a name 3; a name 4; a want; a name 5; a want BYE/5; b name 6; b name 7; a want BYE/4 BYE/3;
-			b name 1; b name 2; b want; b close; a name 8; a want BYE/7; a bye 1; a bye 2; a bye 6; a bye 8;
-			a want 200/1 200/2 200/6 200/8`)
+	runScript(newHarness(t, cfg, "s-1"), `
+		a name 1; a name 2; a name 3; a name 4; a want; a name 5; a want BYE/5; b name 6; b name 7; a want BYE/4 BYE/3;
+		b name 1; b name 2; b want; b close; a name 8; a want BYE/7; a bye 1; a bye 2; a bye 6; a bye 8;
+		a want 200/1 200/2 200/6 200/8`)
 }
 
 // TestMemoryOfNamedCalls guards against named calls that take more memory than their limit stands for: the header fields
--- a/internal/edge/feed/limits_test.go
+++ b/internal/edge/feed/limits_test.go
@@ -5,47 +5,33 @@
 	"time"
 )
 
-// TestSlowFirstByteIsHeard guards against a limit that is the same at every retry, so that a channel whose first byte takes
-// longer is never heard.
+// TestSlowFirstByteIsHeard guards against a limit that is the same at every retry, so that a channel whose first byte takes longer
+// is never heard. The delays follow one another on one channel; the limit stays within its bounds.
 func TestSlowFirstByteIsHeard(t *testing.T) {
-	for _, tc := range []struct {
-		delay, wantWithin time.Duration
-		wantNext          time.Duration // limit of the request after the one that was answered
-	}{
-		{100 * time.Millisecond, 100 * time.Millisecond, 2 * time.Second},
-		{2500 * time.Millisecond, 5 * time.Second, 5 * time.Second},
-		{5 * time.Second, 12 * time.Second, 10 * time.Second},
-		{9 * time.Second, 24 * time.Second, 16 * time.Second},
+	limits := NewRequestLimits()
+	for _, tc := range []struct{ delay, heardAfter, nextLimit time.Duration }{ // in milliseconds
+		{100, 100, 2000}, {2500, 4500, 5000}, {10, 10, 2000}, {5000, 11000, 10000}, {10, 10, 2000}, {9000, 23000, 16000}, {15000, 15000, 16000},
 	} {
-		limits := NewRequestLimits()
 		waited := time.Duration(0)
-		for tries := 0; tc.delay > limits.FirstByte; tries++ {
-			if tries > 10 {
-				t.Fatalf("delay of %v: not heard in %d tries, limit %v", tc.delay, tries, limits.FirstByte)
+		for delay := tc.delay * time.Millisecond; ; limits.FirstByteTimedOut() {
+			if limits.ConnectTimedOut(); delay <= limits.FirstByte {
+				waited += delay
+				limits.FirstByteReceived(delay)
+				break
+			}
+			if waited += limits.FirstByte; waited > time.Minute {
+				t.Fatalf("delay of %v: not heard in a minute, limit %v", delay, limits.FirstByte)
 			}
-			waited += limits.FirstByte
-			limits.FirstByteTimedOut()
 		}
-		waited += tc.delay
-		limits.FirstByteReceived(tc.delay)
-		if waited > tc.wantWithin || limits.FirstByte != tc.wantNext {
-			t.Errorf("delay of %v: heard after %v, next limit %v; want within %v, %v", tc.delay, waited, limits.FirstByte, tc.wantWithin,
-				tc.wantNext)
+		want := RequestLimits{Connect: minConnectTimeout, FirstByte: tc.nextLimit * time.Millisecond}
+		if waited != tc.heardAfter*time.Millisecond || limits != want {
+			t.Errorf("delay of %d ms: heard after %v, then %+v; want %d ms, %+v", tc.delay, waited, limits, tc.heardAfter, want)
 		}
 	}
-}
-
-// TestRequestLimitsAreBounded checks that the limits grow up to their bounds, and that a fast answer resets them.
-func TestRequestLimitsAreBounded(t *testing.T) {
-	limits := NewRequestLimits()
 	for range 100 {
 		limits.ConnectTimedOut()
-		limits.FirstByteTimedOut()
-	}
-	if limits != (RequestLimits{Connect: maxConnectTimeout, FirstByte: maxFirstByteTimeout}) {
-		t.Errorf("after 100 failures the limits are %+v, want the bounds", limits)
 	}
-	if limits.FirstByteReceived(time.Millisecond); limits != NewRequestLimits() {
-		t.Errorf("after a fast answer the limits are %+v, want those of a first request", limits)
+	if limits.Connect != maxConnectTimeout {
+		t.Errorf("the limit on connecting has grown to %v, want %v", limits.Connect, maxConnectTimeout)
 	}
 }
--- a/internal/edge/feedclient_test.go
+++ b/internal/edge/feedclient_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
 	"testing"
 	"time"
 
@@ -11,64 +12,65 @@
 	"larkrouter/internal/edge/standin"
 )
 
-// TestSlowCommandChannel guards against a channel that is never heard because its first byte needs longer than the first
-// request waits: its events arrive, a drain that is told after a break too, and so do those of another slow channel that a
-// reload has moved to while a request waits.
+// TestSlowCommandChannel guards against a channel that is never heard because its first byte needs longer than the first request
+// waits: its events arrive, a drain that is told after a break too, and so do those of another slow channel that a reload has
+// moved to while a request waits.
 func TestSlowCommandChannel(t *testing.T) {
 	const firstByteDelay = 2300 * time.Millisecond
-	newFeed := func() *standin.Feed {
+	state := &sharedState{events: make(chan loopEvent), done: make(chan struct{}), startedAt: time.Now(),
+		log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	defer close(state.done)
+	cursor, previous := &feed.Cursor{}, (*standin.Feed)(nil)
+	for _, want := range []uint64{2, 3} { // event 1 comes on the first channel, as the last one before its break
 		channel, err := standin.NewFeed("node", standin.NewRecorder())
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Cleanup(channel.Close)
+		defer channel.Close()
 		channel.SetFirstByteDelay(firstByteDelay)
-		return channel
-	}
-	state := &sharedState{events: make(chan loopEvent), done: make(chan struct{}), startedAt: time.Now(),
-		log: slog.New(slog.NewTextHandler(io.Discard, nil))}
-	defer close(state.done)
-	cursor := &feed.Cursor{}
-	follow := func(addr string) (stop func()) {
+		if previous != nil {
+			channel.ContinueFrom(previous)
+		}
+		previous = channel
+		publish := func(phase string) { channel.Publish(false, nil, standin.Member("s-0", "127.0.0.1:9", 0, phase)) }
+		publish("up")
 		ctx, cancel := context.WithCancel(t.Context())
 		stopped := make(chan struct{})
 		go func() {
 			defer close(stopped)
-			state.followFeed(ctx, addr, cursor)
+			state.followFeed(ctx, channel.Addr(), cursor)
 		}()
-		return func() { cancel(); <-stopped }
-	}
-	expectEvent := func(what string, number uint64) {
-		t.Helper()
-		select {
-		case event := <-state.events:
-			close(event.listApplied)
-			if event.eventNumber != number {
-				t.Fatalf("%s: received event %d, want %d", what, event.eventNumber, number)
+		receive := func(limit time.Duration) {
+			t.Helper()
+			select {
+			case event := <-state.events:
+				close(event.listApplied)
+			case <-time.After(limit):
+				t.Errorf("no event after %d in %v", cursor.Last, limit)
 			}
-		case <-time.After(30 * time.Second):
-			t.Fatalf("%s: event %d was not received in 30 s", what, number)
+		}
+		receive(30 * time.Second)
+		if want == 2 {
+			channel.BreakConnections(false)
+			publish("draining")
+			receive(2 * firstByteDelay) // with the first request, as the channel's delay is known
+			channel.BreakConnections(false)
+			time.Sleep(200 * time.Millisecond) // the next request waits for its first byte when the reload comes
+		}
+		cancel()
+		<-stopped
+		if cursor.Last != want {
+			t.Errorf("the last event received is %d, want %d", cursor.Last, want)
 		}
 	}
+}
 
-	first := newFeed()
-	first.Publish(true, nil, standin.Member("s-0", "127.0.0.1:9", 0, "up"))
-	stop := follow(first.Addr())
-	expectEvent("slow channel", 1)
-	first.BreakConnections(false)
-	first.Publish(false, nil, standin.Member("s-0", "127.0.0.1:9", 0, "draining"))
-	brokenAt := time.Now()
-	expectEvent("after a break", 2)
-	if took := time.Since(brokenAt); took > 2*firstByteDelay {
-		t.Errorf("the drain was received after %v, want it with the first request, as the channel's delay is known", took)
+// TestConnectTimeoutRaisesLimit guards against a channel that is never reached because its connection opens late.
+func TestConnectTimeoutRaisesLimit(t *testing.T) {
+	client := &feedClient{limits: feed.NewRequestLimits()}
+	_, err := (&net.Dialer{Timeout: 1}).Dial("tcp", "127.0.0.1:9")
+	before := client.limits
+	if client.adjustLimits(err); client.limits.Connect <= before.Connect || client.limits.FirstByte != before.FirstByte {
+		t.Errorf("after %v the limits are %+v, want a longer one on connecting only; before %+v", err, client.limits, before)
 	}
-	first.BreakConnections(false)
-	time.Sleep(200 * time.Millisecond) // the next request waits for its first byte
-	second := newFeed()
-	second.ContinueFrom(first)
-	second.Publish(false, nil, standin.Member("s-0", "127.0.0.1:9", 0, "removed"))
-	stop()
-	stop = follow(second.Addr())
-	expectEvent("channel that a reload has moved to", 3)
-	stop()
 }
