edge: whether a server is replaced follows from the list, without a flag of its own

Need: the flag and its two resets could be derived: a server is replaced while another one at its address has a later start. Change: updatePhase asks replacementOf, logs the cause with "server is gone", and says whether the module must be told.

Checked: 28 guards of the access core, each taken out in turn, fail the tests of internal/edge/access, after this change.

--- a/internal/edge/access/server_list.go
+++ b/internal/edge/access/server_list.go
@@ -28,9 +28,7 @@
 		}
 	}
 	for _, srv := range n.serverOrder {
-		isNewlyReplaced := n.checkReplaced(srv)
-		n.updatePhase(srv)
-		if listed[srv] || isNewlyReplaced {
+		if hasChanged := n.updatePhase(srv); hasChanged || listed[srv] {
 			update.Servers = append(update.Servers, srv.info)
 		}
 	}
@@ -73,11 +71,11 @@
 		n.serverOrder = append(n.serverOrder, srv)
 	}
 	if hasStarted = member.StartedUnixMilli > srv.startedUnixMilli; hasStarted {
-		srv.startedUnixMilli, srv.isReplaced = member.StartedUnixMilli, false
+		srv.startedUnixMilli = member.StartedUnixMilli
 		srv.info.Started = min(n.now, max(1, time.Duration(member.StartedUnixMilli-n.cfg.ClockZeroUnixMilli)*time.Millisecond))
 	}
 	if member.AddrPort.IsValid() && member.AddrPort != srv.addr {
-		srv.addr, srv.isReplaced = member.AddrPort, false
+		srv.addr = member.AddrPort
 		n.closeTrunks(srv, "the address has changed")
 	}
 	srv.listedPhase = parsePhase(member.Phase)
@@ -97,39 +95,35 @@
 	return larkrouter.Ready
 }
 
-// updatePhase applies the phase that the list reports for a server. A replaced server is gone whatever the list says: the
-// list reports the end of a process late.
-func (n *Node) updatePhase(srv *server) {
-	phase := srv.listedPhase
-	if srv.isReplaced {
-		phase = larkrouter.Gone
+// updatePhase applies the phase that the list reports for a server, and reports whether it has changed. A replaced server is gone
+// whatever the list says: the list reports the end of a process late.
+func (n *Node) updatePhase(srv *server) (hasChanged bool) {
+	phase, cause := srv.listedPhase, ""
+	if other := n.replacementOf(srv); other != nil {
+		phase, cause = larkrouter.Gone, "address taken by "+other.id
 	}
 	if phase == srv.info.Phase {
-		return
+		return false
 	}
-	n.log(LogEntry{Event: "server " + phaseTexts[phase], Server: srv.id, Count: len(srv.standing)})
+	n.log(LogEntry{Event: "server " + phaseTexts[phase], Server: srv.id, Cause: cause, Count: len(srv.standing)})
 	srv.info.Phase = phase
 	if phase != larkrouter.Ready {
 		srv.withdrawnAt = n.now
 	}
+	return true
 }
 
 var phaseTexts = map[larkrouter.Phase]string{larkrouter.Draining: "drains", larkrouter.Ready: "is up", larkrouter.Gone: "is gone"}
 
-// checkReplaced records that another server has taken the server's address: it has started there later. It reports whether that
-// is new. The identity of a process is its server's id and start, never its address.
-func (n *Node) checkReplaced(srv *server) (isNew bool) {
-	if srv.isReplaced {
-		return false
-	}
+// replacementOf returns a server that has started later at the server's address, or nil. The identity of a process is its server's
+// id and start, never its address.
+func (n *Node) replacementOf(srv *server) *server {
 	for _, other := range n.serverOrder {
 		if other.addr == srv.addr && other.startedUnixMilli > srv.startedUnixMilli {
-			n.log(LogEntry{Event: "server replaced", Server: srv.id, Cause: "address taken by " + other.id, Count: len(srv.standing)})
-			srv.isReplaced = true
-			return true
+			return other
 		}
 	}
-	return false
+	return nil
 }
 
 // serverAtAddressOf returns the server in service that has the address of a server that is gone, or nil.
--- a/internal/edge/access/servers.go
+++ b/internal/edge/access/servers.go
@@ -18,7 +18,6 @@
 	addr             netip.AddrPort
 	info             larkrouter.ServerInfo // as the module knows it; Started is no later than it was first listed
 	listedPhase      larkrouter.Phase      // as listed; a replaced server is gone before the list says so
-	isReplaced       bool                  // another server has started at its address, so the process with this start has ended
 	withdrawnAt      time.Duration         // when it was last reported as draining or gone
 	startedUnixMilli int64                 // latest start that the list has reported; 0: none
 	reachability     *reachability.State
