store: Open closes the files of segments when it fails or tries again

What would be seen: a descriptor leak. `larkrouter store` and backups open a store read-only beside its owner; if a compaction removes a file meanwhile, Open tries up to five times, and neither that nor an error closed what was open.

Cause: load kept the segments of a try in a local slice; Open closed only those that had got into the store, which are none when reading a later segment fails; readSegment left its own file open on an error.

Change: load and readSegment close what they have opened when they fail.

Test: TestUnreadableDisk, with the newest segment gone at each try, failed before: "19 files are open after 6 tries".

--- a/internal/store/faults_test.go
+++ b/internal/store/faults_test.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	iofs "io/fs"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -168,8 +170,8 @@
 	}
 }
 
-// TestUnreadableDisk checks that read errors are reported, by Open and for each record, and never lead to values or to
-// lasting damage.
+// TestUnreadableDisk checks that read errors are reported, by Open and for each record, and never lead to values, to lasting
+// damage, or to files that stay open.
 func TestUnreadableDisk(t *testing.T) {
 	disk, states := filledDisk(t)
 	s, _ := openStore(t, disk, Options{ManualCompaction: true})
@@ -184,6 +186,22 @@
 		s.Close()
 		t.Error("Open succeeded on an unreadable disk")
 	}
+	names, _ := disk.List()
+	newest := slices.Max(slices.DeleteFunc(names, func(name string) bool { return !strings.HasSuffix(name, ".log") }))
+	tries := 0
+	disk.FailRead = func(name string) error { // the owner compacts while the newest segment is being read, at each try
+		if name == newest {
+			tries++
+			return iofs.ErrNotExist
+		}
+		return nil
+	}
+	if s, _, err := Open(disk, Options{ReadOnly: true, ignoreHints: true}); err == nil {
+		s.Close()
+	}
+	if tries < 2 || disk.OpenFiles != 0 {
+		t.Errorf("%d files are open after %d tries to open an unreadable store, want none after several", disk.OpenFiles, tries)
+	}
 	disk.FailRead = nil
 	s, rec := openStore(t, disk, Options{ManualCompaction: true})
 	defer s.Close()
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -68,14 +68,11 @@
 	recovery, err := s.load()
 	// A read-only store tries again if the owner of the store removed a file by compaction while it was being read.
 	for try := 0; opt.ReadOnly && errors.Is(err, iofs.ErrNotExist) && try < 5; try++ {
-		s.index, s.segments = map[string]*btree.Map[string, location]{}, nil
+		s.index = map[string]*btree.Map[string, location]{}
 		recovery, err = s.load()
 	}
 	s.nextAssignedSeq, s.nextDurableSeq = s.nextVisibleSeq, s.nextVisibleSeq
 	if err != nil {
-		for _, seg := range s.segments {
-			seg.file.Close()
-		}
 		if s.unlock != nil {
 			_ = s.unlock()
 		}
@@ -95,10 +92,16 @@
 	return s, recovery, nil
 }
 
+// closeSegments closes the files of segments.
+func closeSegments(segments []*loadedSegment) {
+	for _, loading := range segments {
+		loading.seg.file.Close()
+	}
+}
+
 // load reads all segments, builds the index, removes leftover files and prepares the active segment. For a read-only store
 // it only reads.
-func (s *Store) load() (RecoveryReport, error) {
-	var recovery RecoveryReport
+func (s *Store) load() (recovery RecoveryReport, err error) {
 	names, err := s.fs.List()
 	if err != nil {
 		return recovery, err
@@ -122,6 +125,12 @@
 		return s.fs.Remove(name)
 	}
 	var segments []*loadedSegment
+	defer func() {
+		if err != nil {
+			closeSegments(segments)
+			s.segments = nil
+		}
+	}()
 	supersededUpTo := uint64(0) // segments with IDs up to this one are superseded
 	for _, name := range names {
 		if strings.HasSuffix(name, ".new") {
--- a/internal/store/segment.go
+++ b/internal/store/segment.go
@@ -82,12 +82,17 @@
 
 // readSegment loads one segment, from its hint file if that is valid, otherwise frame by frame. After damage it continues
 // with the next valid frame. A torn end of an unsealed segment is truncated, unless the store is read-only.
-func (s *Store) readSegment(id uint64) (*loadedSegment, error) {
+func (s *Store) readSegment(id uint64) (_ *loadedSegment, err error) {
 	name := segName(id)
 	file, err := s.fs.Open(name)
 	if err != nil {
 		return nil, err
 	}
+	defer func() {
+		if err != nil {
+			file.Close()
+		}
+	}()
 	size, err := file.Size()
 	if err != nil {
 		return nil, err
--- a/internal/store/vfs/sim.go
+++ b/internal/store/vfs/sim.go
@@ -23,6 +23,7 @@
 	CrashAtOp    int                             // number of the operation from which on everything fails; 0 means no crash
 	Capacity     int64                           // total size of the files in bytes; 0 means unlimited
 	FailRead     func(name string) error         // called before each read, which fails with the returned error
+	OpenFiles    int                             // number of files that are open
 	crashed      bool
 }
 
@@ -152,6 +153,7 @@
 	}
 	d := &simFileData{}
 	s.files[name] = d
+	s.OpenFiles++
 	return &simFile{s, d, name}, nil
 }
 
@@ -166,6 +168,7 @@
 	if d == nil {
 		return nil, fmt.Errorf("open %s: %w", name, fs.ErrNotExist)
 	}
+	s.OpenFiles++
 	return &simFile{s, d, name}, nil
 }
 
@@ -323,4 +326,9 @@
 }
 
 // Close implements [File].
-func (f *simFile) Close() error { return nil }
+func (f *simFile) Close() error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	f.fs.OpenFiles--
+	return nil
+}
