membership: restoring leases adds all of them or none

What would be seen: none is known; the one caller gives its list server up on an error. A registry that goes on after a refused list would count a part of the fleet.

Cause: Restore checked and joined lease by lease, so those before the faulty one stayed.

Change: all are checked before the first joins. Test: TestRegistryLeases, which now wants no members after a duplicate name, failed before.

--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -82,8 +82,9 @@
 	if at, _ := restored.NextExpiry(); at != 30*sec+LeaseGrace {
 		t.Errorf("the first restored lease ends at %v", at)
 	}
-	if err := NewRegistry().Restore(0, []Lease{{Name: "a"}, {Name: "a"}}); err == nil {
-		t.Error("a duplicate name was accepted")
+	faulty := NewRegistry()
+	if err := faulty.Restore(0, []Lease{{Name: "a"}, {Name: "a"}}); err == nil || faulty.Size() != 0 {
+		t.Errorf("a duplicate name: %v, %d members; want an error and none", err, faulty.Size())
 	}
 }
 
--- a/internal/membership/registry.go
+++ b/internal/membership/registry.go
@@ -102,12 +102,16 @@
 }
 
 // Restore adds persisted leases. Each gets its remaining time and LeaseGrace, because the nodes could not refresh
-// while the list server was down.
+// while the list server was down. If one is invalid, none is added.
 func (r *Registry) Restore(now time.Duration, leases []Lease) error {
+	names := map[string]bool{}
 	for i, lease := range leases {
-		if lease.Name == "" || r.byName[lease.Name] != nil {
+		if lease.Name == "" || r.byName[lease.Name] != nil || names[lease.Name] {
 			return fmt.Errorf("lease %d of %d: name %q is empty or used twice", i+1, len(leases), lease.Name)
 		}
+		names[lease.Name] = true
+	}
+	for _, lease := range leases {
 		r.Join(lease.Name, now+max(0, lease.Remaining)+LeaseGrace)
 	}
 	return nil
