daemon: a successor that cannot be started leaves no goroutine behind

What would be seen: a goroutine more with every upgrade whose process cannot be started.

Cause: startSuccessor closed the connection of the channel, not the queue that its writing goroutine reads.

Change: it flushes and closes the channel. Test: TestYieldStore, with an environment that is too large for a process, failed before: "timed out waiting for the goroutine of the upgrade channel to end".

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -245,7 +245,7 @@
 	channel := newHandover(conn)
 	pid, err := d.startProcess(fds[1])
 	if err != nil {
-		conn.Close()
+		channel.flushAndClose()
 		return nil, err
 	}
 	child, _ := os.FindProcess(pid) // never fails on Unix
--- a/internal/daemon/handover_test.go
+++ b/internal/daemon/handover_test.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"net"
 	"path/filepath"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,7 +18,8 @@
 
 // TestYieldStore guards against an upgrade that the successor rejects because a journal entry comes before "go", and against a
 // predecessor that loses entries when the successor dies before "ready". Turns with journal entries and lists are queued
-// around the turn that yields the store, the successor dies, and the upgrade is tried again at once.
+// around the turn that yields the store, the successor dies, and the upgrade is tried again at once. A successor
+// that cannot be started leaves nothing behind.
 func TestYieldStore(t *testing.T) {
 	const tries, entriesPerTry = 20, 20
 	file := &config.File{Store: config.Store{Dir: filepath.Join(t.TempDir(), "store"), Segment: 1 << 20}}
@@ -66,6 +69,13 @@
 		}
 		d.reopenAfterFailure(t.Context())
 	}
+	goroutines := runtime.NumGoroutine()
+	d.path = "node.toml"
+	t.Setenv("LARGE", strings.Repeat("x", 1<<20)) // no process can be started with it
+	if _, err := d.startSuccessor(t.Context()); err == nil {
+		t.Error("a process was started with an environment that is too large")
+	}
+	waitFor(t, "the goroutine of the upgrade channel to end", func() bool { return runtime.NumGoroutine() <= goroutines })
 	loop.PostAndWait(func(time.Duration) { d.state.flush() })
 	waitFor(t, "the entries to be in the store", func() bool {
 		inStore := uint64(0)
