daemon: a persisted pool list that cannot be decoded is not used in part

What would be seen: after a fault in the stored list, or one of another version, a node starts with some of its servers, without those behind the fault, until the list arrives; calls all go to these.

Cause: restore logged the error of json.Unmarshal and used what had been decoded up to it.

Change: such a list is not used. Test: TestStateStoreRestore, with a list whose second server is faulty, failed before ("want none of it").

--- a/internal/daemon/restart_test.go
+++ b/internal/daemon/restart_test.go
@@ -197,6 +197,14 @@
 	if len(list) != 2 || list[0].AgeMs < 3600_000 || list[1].AgeMs != 0 {
 		t.Errorf("restored list %+v, want 2 servers, the first aged by an hour", list)
 	}
+	var faulty store.WriteBatch
+	faulty.Put(collectionNode, "list", []byte(`{"at_ms":1,"version":4,"servers":[{"id":1,"number":0,"address":"127.0.0.1:5060"},{"id":"2"}]}`))
+	if _, err := state.store.Write(context.Background(), &faulty, store.SyncWrite); err != nil {
+		t.Fatal(err)
+	}
+	if list, _ := state.restore(true); len(list) != 0 {
+		t.Errorf("restored list %+v from one that cannot be decoded, want none of it", list)
+	}
 	id, boots, err := state.nextEngine()
 	again, boots2, err2 := state.nextEngine()
 	if err != nil || err2 != nil || boots != 1 || boots2 != 2 || !bytes.Equal(id, again) {
--- a/internal/daemon/state_store.go
+++ b/internal/daemon/state_store.go
@@ -100,8 +100,9 @@
 		var persisted pool.PersistedList
 		if err := json.Unmarshal(encoded, &persisted); err != nil {
 			s.log.Warn("decoding the persisted pool list failed", "cause", err.Error())
+		} else {
+			list = persisted.ServersAt(time.Now().UnixMilli())
 		}
-		list = persisted.ServersAt(time.Now().UnixMilli())
 	}
 	if !noPredecessor { // the predecessor still serves its calls and sends their journal
 		return list, nil
