daemon: a control socket that cannot be put in place is removed

What would be seen: PATH.new stays beside the control socket after a failed start.

Cause: openControl closed the listener, which does not unlink, when chmod or rename failed.

Change: it removes the file. Test: TestControlSocket, with a folder at the path, failed before ("a socket that could not be renamed is left").

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -51,6 +51,7 @@
 	}
 	if err != nil {
 		listener.Close()
+		_ = os.Remove(tempPath)
 		return nil, fmt.Errorf("control socket %s: %w", path, err)
 	}
 	handlers := http.NewServeMux()
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -356,6 +356,16 @@
 	if _, err := p.control("POST", "nonsense"); err == nil {
 		t.Error("an unknown command was accepted")
 	}
+	occupied := filepath.Join(p.dir, "occupied")
+	if err := os.MkdirAll(filepath.Join(occupied, "file"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := (&Daemon{}).openControl(occupied, true); err == nil {
+		t.Error("a folder was replaced by a control socket")
+	}
+	if _, err := os.Stat(occupied + ".new"); !os.IsNotExist(err) {
+		t.Errorf("a socket that could not be renamed is left: %v", err)
+	}
 	second := exec.Command(os.Args[0])
 	second.Env = append(os.Environ(), "LARKROUTER_TEST_SERVE="+p.path+"2")
 	if err := os.WriteFile(p.path+"2", []byte(strings.ReplaceAll(p.text, p.address.String(), freePort(t).String())), 0o600); err != nil {
