daemon: a pool file whose content is "missing" is read like any other

What would be seen: after a failed read of the pool file, a file with just this word is neither applied nor rejected in the log.

Cause: watchPoolFile kept the word as the mark of a failed read in the variable that holds the last content.

Change: the mark is a variable of its own; the parameter that both callers left empty is gone. Test: TestPoolFileReload, with the file removed and written again with that word, failed before (timed out).

--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -82,7 +82,7 @@
 		handler.apply(next.Log)
 	}
 	if next.Pool != old.Pool {
-		d.watchPoolFile(ctx, next.Pool, "")
+		d.watchPoolFile(ctx, next.Pool)
 	}
 	d.log.Info("reloaded", "configuration", next.Name, "udp", d.loop.stack.UDPAddr().String(), "tcp", d.loop.stack.TCPAddr().String())
 	if len(retired) > 0 && d.isClosingOldListeners.CompareAndSwap(false, true) {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
@@ -116,7 +117,7 @@
 		<-loopDone
 		d.wg.Wait()
 	}()
-	d.watchPoolFile(ctx, f.Pool, "")
+	d.watchPoolFile(ctx, f.Pool)
 	if err := d.startAgent(ctx, f); err != nil {
 		return false, err
 	}
@@ -240,9 +241,9 @@
 	}
 }
 
-// watchPoolFile reads the pool file at the configured interval and passes the list to the node whenever the content differs
-// from previous: the content read before, "" for none yet, or "missing" after a failed read. It replaces an earlier watch.
-func (d *Daemon) watchPoolFile(ctx context.Context, cfg config.Pool, previous string) {
+// watchPoolFile reads the pool file at the configured interval and passes the list to the node whenever the content has changed.
+// It replaces an earlier watch.
+func (d *Daemon) watchPoolFile(ctx context.Context, cfg config.Pool) {
 	if d.cancelWatch != nil {
 		d.cancelWatch()
 		d.cancelWatch = nil
@@ -256,10 +257,12 @@
 	go func() {
 		defer d.wg.Done()
 		interval := max(time.Duration(cfg.FilePollInterval), 50*time.Millisecond)
+		var previous []byte // content of the last read; nil: none yet, or the read failed
+		isMissing := false
 		for {
 			content, err := os.ReadFile(cfg.File)
-			if err == nil && string(content) != previous {
-				previous = string(content)
+			if err == nil && (previous == nil || !bytes.Equal(content, previous)) {
+				previous, isMissing = content, false
 				servers, parseErr := config.ParseServers(cfg.File, content)
 				if parseErr != nil {
 					log.Error("pool file rejected, the previous list stays in force", "cause", parseErr.Error())
@@ -268,8 +271,8 @@
 						routerNode.ApplyList(now, pool.Document{Version: 1, State: "full", Servers: servers})
 					})
 				}
-			} else if err != nil && previous != "missing" {
-				previous = "missing"
+			} else if err != nil && !isMissing {
+				previous, isMissing = nil, true
 				log.Error("reading the pool file failed, the previous list stays in force", "cause", err.Error())
 			}
 			select {
--- a/internal/daemon/serve_test.go
+++ b/internal/daemon/serve_test.go
@@ -255,4 +255,12 @@
 		t.Fatal(err)
 	}
 	n.awaitLog(t, "draining")
+	if err := os.Remove(n.poolFile); err != nil {
+		t.Fatal(err)
+	}
+	n.awaitLog(t, "reading the pool file failed")
+	if err := os.WriteFile(n.poolFile, []byte("missing"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "the next faulty list to be rejected", func() bool { return strings.Count(n.log.String(), "pool file rejected") == 2 })
 }
