--- a/internal/edge/access/fault_scripts_test.go
+++ b/internal/edge/access/fault_scripts_test.go
@@ -53,6 +53,17 @@
 	})
 }
 
+// TestNamedCalls checks that after a restart of the node an INVITE that names a call server registers a standing call. It gets no
+// answer, and the call ends like any other. If the server has already released the call, or is unknown, the caller gets a BYE.
+func TestNamedCalls(t *testing.T) {
+	runScripts(t, testConfig(), map[string]string{
+		"named twice":                  `a name 1; a want; a name 1; s-1 release 1; a want BYE/1`,
+		"released before it was named": `s-1 release 2; a name 2; a want BYE/2`,
+		"unknown server":               `a misname 3; a want BYE/3`,
+		"released by its caller":       `a name 4; a bye 4; a want 200/4; s-1 want 12/4/16`,
+	})
+}
+
 // TestReleaseReachesCaller guards against a release that waits too long, or that no caller reads, after the connection of its
 // call has closed.
 func TestReleaseReachesCaller(t *testing.T) {
@@ -72,7 +83,10 @@
 		"connection of a client without calls is closed": callerGone + `b want; s-1 release 1; wait 900ms; b want BYE/1; wait 3s; c try 2;
 			c want BYE/1`,
 		"own connection without an answered call": `s-1 release 9; b name 9; b want BYE/9; c call 1; wait 1s; c want`,
-		"caller releases the call itself":         callerGone + `s-1 release 1; b bye 1; b try 2; wait 900ms; b want 200/1`,
-		"no connection for minutes":               callerGone + `s-1 release 1; wait 5m; b try 2; b want BYE/1`,
+		// It goes to no connection without a call at once, again if it cannot have been read, and not after a confirmation.
+		"read, and confirmed": callerGone + `b options 0; s-1 release 1; b want 200/0; c try 2; c want BYE/1; s-1 answer 2; c want 200/2;
+			d call 3; c close; d want BYE/1; d ok 1; d close; e call 4; e want`,
+		"caller releases the call itself": callerGone + `s-1 release 1; b bye 1; b try 2; wait 900ms; b want 200/1`,
+		"no connection for minutes":       callerGone + `s-1 release 1; wait 5m; b try 2; b want BYE/1`,
 	})
 }
--- a/internal/edge/access/node_test.go
+++ b/internal/edge/access/node_test.go
@@ -321,62 +321,6 @@
 	}
 }
 
-// TestAdoptedCalls checks that after a restart of the node an INVITE that names a call server registers a standing
-// call. It gets no answer, and the call ends like any other. If the server has already released the call, or is
-// unknown, the caller gets a BYE immediately.
-func TestAdoptedCalls(t *testing.T) {
-	h := newHarness(t, testConfig(), "s-1")
-	caller := h.openCaller()
-	h.sendFromCaller(caller, formatInvite(1, "at:s-1"))
-	h.expect("adopted", h.receivedByCaller(caller), "[]")
-	h.sendFromCaller(caller, formatInvite(1, "at:s-1"))
-	conn := h.trunks[serverAddr("s-1")][0]
-	h.sendFromServer(conn, trunk.TypeRelease, 1, causeParam(16))
-	h.expect("release", h.receivedByCaller(caller), "[BYE]")
-
-	h.sendFromServer(conn, trunk.TypeRelease, 2, causeParam(41))
-	h.sendFromCaller(caller, formatInvite(2, "at:s-1"))
-	h.expect("released before it was named", h.receivedByCaller(caller), "[BYE]")
-	h.sendFromCaller(caller, formatInvite(3, "at:s-9"))
-	h.expect("unknown server", h.receivedByCaller(caller), "[BYE]")
-
-	h.sendFromCaller(caller, formatInvite(4, "at:s-1"))
-	h.sendFromCaller(caller, formatRequest("BYE", 4, "", ""))
-	h.expect("hung up", h.receivedByCaller(caller), "[200 BYE]")
-	if got := fmt.Sprint(h.receivedByServer("s-1")); !strings.Contains(got, "12/4/16") {
-		t.Errorf("the server received %s, want 12/4/16", got)
-	}
-}
-
-// TestReleaseOnAnotherConnection checks that the release of a call whose caller connection has ended goes at once to the next
-// connection with an open set-up, once, and to no connection without a call, and that it is sent again if that connection
-// ends before the release can have been read.
-func TestReleaseOnAnotherConnection(t *testing.T) {
-	h := newHarness(t, testConfig(), "s-1")
-	first := h.openCaller()
-	conn := h.establishCall(first, 1, "s-1")
-	h.node.CallerClosed(h.now, first)
-	unproven := h.openCaller()
-	h.sendFromCaller(unproven, formatRequest("OPTIONS", 0, "", ""))
-	h.sendFromServer(conn, trunk.TypeRelease, 1, causeParam(16))
-	h.expect("unproven connection", h.receivedByCaller(unproven), "[200 OPTIONS]")
-	second := h.openCaller()
-	h.receivedByServer("s-1")
-	h.sendFromServer(h.startSetUp(second, 2, "s-1"), trunk.TypeAnswer, 2, serverDescription)
-	h.expect("next connection with a set-up", h.receivedByCaller(second), "[BYE 200 INVITE]")
-	third := h.openCaller()
-	h.establishCall(third, 3, "s-1")
-	h.node.CallerClosed(h.now, second) // the caller may not have read the BYE
-	h.execute()
-	h.expect("sent again", h.receivedByCaller(third), "[BYE]")
-	h.sendFromCaller(third, "SIP/2.0 200 OK\r\nCall-ID: "+formatID(1)+"\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n")
-	h.node.CallerClosed(h.now, third)
-	h.execute()
-	if len(h.node.pendingReleases) != 0 {
-		t.Errorf("%d releases are pending after the caller's 200, want none", len(h.node.pendingReleases))
-	}
-}
-
 // TestMalformed checks that requests that no conforming caller sends are rejected and not forwarded, and that a
 // client that uses the id of another caller's open call does not disturb that call.
 func TestMalformed(t *testing.T) {
--- a/internal/edge/access/script_test.go
+++ b/internal/edge/access/script_test.go
@@ -18,7 +18,8 @@
 //	wait DURATION
 //	list ID@ADDRESS PHASE START     a list entry; start relative to the script's, 0: none
 //	CALLER try N | call N           a set-up; one that s-1 answers
-//	CALLER name N | bye N | close   name: as standing at s-1
+//	CALLER name N | misname N       as standing at s-1; at an unknown server
+//	CALLER bye N | ok N | options N | close   ok: 200 to a release
 //	CALLER want MESSAGE/N ...       all that it has received since the last such step
 //	s-1 answer N | release N        release: on the trunk that opened last
 //	SERVER want TYPE/N/CAUSE ...
@@ -72,8 +73,12 @@
 		s.establishCall(caller, number, "s-1")
 	case "name":
 		s.sendFromCaller(caller, formatInvite(number, "at:s-1"))
-	case "bye":
-		s.sendFromCaller(caller, formatRequest("BYE", number, "", ""))
+	case "bye", "options":
+		s.sendFromCaller(caller, formatRequest(strings.ToUpper(verb), number, "", ""))
+	case "ok":
+		s.sendFromCaller(caller, fmt.Sprintf("SIP/2.0 200 OK\r\nCall-ID: %s\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n", formatID(number)))
+	case "misname":
+		s.sendFromCaller(caller, formatInvite(number, "at:s-9"))
 	case "close":
 		s.node.CallerClosed(s.now, caller)
 		s.execute()
