edge: a call server counts as heard while one long message arrives slowly

Need: the core counts any byte from a call server as a sign of life, but the event loop told it of bytes only with a complete message. After 1.6 s of one slow message the server was probed, and if probes fail its connections are closed and its calls given up after 6 s. Cause: handle looked at the number of parsed messages. Change: an event says whether bytes were read. accept_test.go is socket_test.go, as it tests the sockets.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -64,6 +64,7 @@
 	receivedAt     time.Duration
 	callerMessages []*sip.Message
 	trunkMessages  []*trunk.Message
+	hasBytes       bool  // bytes have been received, which need not complete a message
 	isPartial      bool  // an incomplete message has been received
 	protocolErr    error // the input cannot be parsed
 	connErr        error // the connection has ended, or the dial or write has failed
@@ -409,7 +410,7 @@
 			return
 		}
 		if sock.isTrunk {
-			if len(event.trunkMessages) > 0 {
+			if event.hasBytes {
 				el.node.TrunkBytesReceived(now, sock.id)
 			}
 			for _, msg := range event.trunkMessages {
--- a/internal/edge/socket.go
+++ b/internal/edge/socket.go
@@ -134,7 +134,7 @@
 			}
 			continue
 		}
-		event := loopEvent{kind: callerRead, sock: s, receivedAt: state.clock()}
+		event := loopEvent{kind: callerRead, sock: s, receivedAt: state.clock(), hasBytes: n > 0}
 		if s.isTrunk {
 			event.kind = trunkRead
 		}
--- a/internal/edge/accept_test.go
+++ b/internal/edge/socket_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"net"
+	"os"
 	"testing"
 	"time"
 
 	"larkrouter/internal/edge/access"
+	"larkrouter/internal/edge/trunk"
 )
 
 // TestAcceptWaitsForSocket guards against requests that are lost because their connection is closed as soon as it is accepted,
@@ -42,3 +44,23 @@
 	client.Close()
 	waitFor(t, "the end of the connection", func() bool { return !loop.hasUnreadInput(1) })
 }
+
+// TestSlowMessageOnSockets guards against a call server that is taken for silent while one long message arrives slowly: the node
+// opens no connection to look whether it is alive.
+func TestSlowMessageOnSockets(t *testing.T) {
+	env, listener, server := newScriptedEnv(t)
+	report := trunk.Message{Type: trunk.TypeState, Params: []trunk.Param{{Code: trunk.ParamNote, Value: make([]byte, 200)}}}
+	data, err := report.Append(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(2200 * time.Millisecond); time.Now().Before(end) && len(data) > 1; time.Sleep(40 * time.Millisecond) {
+		server.send(string(data[:1]))
+		data = data[1:]
+	}
+	_ = listener.SetDeadline(time.Now().Add(50 * time.Millisecond))
+	if _, err := listener.Accept(); !os.IsTimeout(err) {
+		t.Errorf("after a slow message of 2.2 s: a second connection came (%v), want none", err)
+	}
+	env.stopNode()
+}
