edge: releases of named calls take no place of others kept for an unreachable server

Need: at most 1,000 releases were kept for a call server without an open connection, first come first kept. A client that names made-up calls and releases them filled these places; a true call that was released after that stood on at its server. More than 1,000 true calls at a server that fell silent lost theirs too. Cause: the limit did not distinguish calls that the server has answered from those that a caller has only named. Change: an ended call whose release waits is kept as it is. An answered one needs no limit of its own, as they are no more than the server held; a named one still counts towards the limit on named calls, so that the connection with the most pays. Test: TestReleasesForServerAreKept. Nothing stays counted after the releases, the server's removal, or its new start.

--- a/internal/edge/access/adopted_test.go
+++ b/internal/edge/access/adopted_test.go
@@ -73,3 +73,24 @@
 		b name 1; b name 2; b want; b close; a name 8; a want BYE/7; a bye 1; a bye 2; a bye 6; a bye 8;
 		a want 200/1 200/2 200/6 200/8`})
 }
+
+// TestReleasesForServerAreKept guards against a call that stands at its server for good, because its caller has released it while no
+// trunk was open and the releases of a client's made-up calls have taken all places.
+func TestReleasesForServerAreKept(t *testing.T) {
+	const made = 1100
+	cfg := testConfig()
+	cfg.MaxAdoptedCalls = 100
+	var flood strings.Builder
+	for n := range made {
+		fmt.Fprintf(&flood, "x name %d; x bye %d; ", 1000+n, 1000+n)
+	}
+	const begin, end = `a call 1; b name 2; s-1 refuse; s-1 reset; `, `a bye 1; b bye 2; `
+	s := runScript(t, cfg, begin+flood.String()+end+`s-1 accept; x close; wait 500ms`)
+	received := s.receivedByServer("s-1")
+	s.expect("the first two releases, and their number", fmt.Sprint(received[0], received[1], len(received) <= 101), "12/1/16 12/2/16 true")
+	s.expect("calls that are counted after the releases", s.node.AdoptedCalls(), "0")
+	s = runScript(t, cfg, begin+end+`list s-1@s-1 removed 0; wait 65s`)
+	s.expect("calls that are counted after the removal", s.node.AdoptedCalls(), "0")
+	s = runScript(t, cfg, begin+end+`wait 500ms; list s-1@s-1 up 1ms; s-1 accept; wait 1s; s-1 want`)
+	s.expect("calls that are counted after a new start", s.node.AdoptedCalls(), "0")
+}
--- a/internal/edge/access/calls.go
+++ b/internal/edge/access/calls.go
@@ -167,7 +167,9 @@
 	if call.server != nil {
 		delete(call.server.standing, call)
 	}
-	n.adopted.remove(call)
+	if !call.isAwaitingRelease() {
+		n.adopted.remove(call)
+	}
 	n.timerHeap.Stop(&call.timer)
 	delete(n.callsByID, call.id)
 	delete(n.callsByNumber, call.number)
@@ -205,11 +207,16 @@
 	n.giveUpExcessCalls(c)
 }
 
-// giveUpExcessCalls gives up adopted calls beyond their limit, after one was named on the given connection. The
-// release of a call goes to the connection that named it last. If that has closed, it goes to the given one. The call
-// server gets no release, so that a client cannot make the node flood it by naming calls that do not exist.
+// giveUpExcessCalls gives up adopted calls beyond their limit, after one was named on the given connection. The release of
+// a call goes to the connection that named it last. If that has closed, it goes to the given one. The call server gets no
+// release, so that a client cannot make the node flood it by naming calls that do not exist. If the call has ended and its
+// release for the server waits, that is dropped.
 func (n *Node) giveUpExcessCalls(naming *callerConn) {
 	for call := n.adopted.excessCall(); call != nil; call = n.adopted.excessCall() {
+		if call.isAwaitingRelease() {
+			n.dropServerRelease(call)
+			continue
+		}
 		n.Totals.AdoptedOverLimit++
 		n.forgetCall(call)
 		to := naming.id
--- a/internal/edge/access/node.go
+++ b/internal/edge/access/node.go
@@ -257,7 +257,8 @@
 // OpenCalls returns the number of calls that await an answer.
 func (n *Node) OpenCalls() int { return n.openCallCount }
 
-// AdoptedCalls returns the number of standing calls that are known only from their callers.
+// AdoptedCalls returns the number of calls that are known only from their callers: those that stand, and those whose release for
+// their call server waits for a trunk.
 func (n *Node) AdoptedCalls() int { return n.adopted.count }
 
 // callsAwaitingAnswer returns the open calls in order of arrival.
--- a/internal/edge/access/node_test.go
+++ b/internal/edge/access/node_test.go
@@ -298,7 +298,7 @@
 		h.expect(how+": after 7.9 s", h.receivedByCaller(caller), "[BYE]")
 		// Only if the network may be partitioned is a release kept: a process that is gone must not get one
 		// when it is back.
-		h.expect(how+": pending releases", len(h.node.servers["s-1"].pendingReleases), map[string]string{"silent": "1", "refused": "0"}[how])
+		h.expect(how+": pending releases", len(h.node.servers["s-1"].awaitingRelease), map[string]string{"silent": "1", "refused": "0"}[how])
 	}
 }
 
--- a/internal/edge/access/script_test.go
+++ b/internal/edge/access/script_test.go
@@ -32,14 +32,19 @@
 
 func runScripts(t *testing.T, cfg Config, scripts map[string]string) {
 	for name, script := range scripts {
-		t.Run(name, func(t *testing.T) {
-			s := &scriptRun{harness: newHarness(t, cfg, "s-1"), callers: map[string]ConnID{}}
-			s.started = s.now
-			for step := range strings.SplitSeq(script, ";") {
-				s.step(strings.TrimSpace(step), strings.Fields(step))
-			}
-		})
+		t.Run(name, func(t *testing.T) { runScript(t, cfg, script) })
+	}
+}
+
+func runScript(t *testing.T, cfg Config, script string) *scriptRun {
+	s := &scriptRun{harness: newHarness(t, cfg, "s-1"), callers: map[string]ConnID{}}
+	s.started = s.now
+	for step := range strings.SplitSeq(script, ";") {
+		if words := strings.Fields(step); len(words) > 0 {
+			s.step(strings.TrimSpace(step), words)
+		}
 	}
+	return s
 }
 
 func (s *scriptRun) step(step string, words []string) {
--- a/internal/edge/access/server_list.go
+++ b/internal/edge/access/server_list.go
@@ -66,7 +66,7 @@
 	if srv = n.servers[member.ID]; srv == nil {
 		n.lastServerNumber++
 		srv = &server{id: member.ID, number: n.lastServerNumber, addr: member.AddrPort, info: larkrouter.ServerInfo{Phase: larkrouter.Ready},
-			reachability: reachability.New(n.cfg.Reachability, n.now), standing: map[*callState]struct{}{}}
+			reachability: reachability.New(n.cfg.Reachability, n.now), standing: callSet{}, awaitingRelease: callSet{}}
 		n.servers[member.ID], n.serversByNumber[srv.number] = srv, srv
 		n.serverOrder = append(n.serverOrder, srv)
 	}
@@ -140,7 +140,7 @@
 // endCallsOfReplaced ends the calls of a server that is gone and whose address a successor has. Calls set up there after the
 // successor's start stand at the successor. A call that its caller has named there stood at the old process.
 func (n *Node) endCallsOfReplaced(srv, successor *server) {
-	for _, call := range srv.standingCalls() {
+	for _, call := range srv.standing.inOrder() {
 		if call.adoptedIn == nil && successor.info.Started > 0 && call.standingSince >= successor.info.Started {
 			delete(srv.standing, call)
 			call.server = successor
@@ -153,10 +153,12 @@
 
 // endCallsBeforeStart ends the calls that stood before the server's last start: they ended with its previous process.
 func (n *Node) endCallsBeforeStart(srv *server) {
-	srv.pendingReleases = slices.DeleteFunc(srv.pendingReleases, func(release serverRelease) bool {
-		return release.standingSince < srv.info.Started
-	})
-	for _, call := range srv.standingCalls() {
+	for _, call := range srv.awaitingRelease.inOrder() {
+		if call.standingSince < srv.info.Started {
+			n.dropServerRelease(call)
+		}
+	}
+	for _, call := range srv.standing.inOrder() {
 		if call.standingSince < srv.info.Started {
 			n.endLostCall(call, "the server has restarted")
 		}
--- a/internal/edge/access/servers.go
+++ b/internal/edge/access/servers.go
@@ -24,39 +24,46 @@
 	demand           reachability.Demand
 	trunks           []*trunkConn // open or being dialed
 	queue            []*attempt   // attempts that wait for a trunk
-	standing         map[*callState]struct{}
-	pendingReleases  []serverRelease // releases that wait for an open trunk
+	standing         callSet
+	awaitingRelease  callSet // ended calls whose release waits for an open trunk
 	counts           AttemptCounts
 }
 
-// serverRelease is a release of a call for its server.
-type serverRelease struct {
-	callID        uint64
-	standingSince time.Duration
-}
-
-const (
-	goneRetention      = 60 * time.Second // how long a server that is gone is remembered
-	maxPendingReleases = 1000
-)
+// goneRetention is how long a server that is gone is remembered.
+const goneRetention = 60 * time.Second
 
-// keepRelease keeps a call's release until a trunk to its server opens.
-func (s *server) keepRelease(call *callState) {
-	if len(s.pendingReleases) < maxPendingReleases {
-		s.pendingReleases = append(s.pendingReleases, serverRelease{call.id, call.standingSince})
-	}
-}
+// callSet is a set of calls.
+type callSet map[*callState]struct{}
 
-// standingCalls returns the calls that stand at the server in order of arrival.
-func (s *server) standingCalls() []*callState {
-	calls := make([]*callState, 0, len(s.standing))
-	for call := range s.standing {
+// inOrder returns the calls in order of arrival.
+func (s callSet) inOrder() []*callState {
+	calls := make([]*callState, 0, len(s))
+	for call := range s {
 		calls = append(calls, call)
 	}
 	slices.SortFunc(calls, func(a, b *callState) int { return cmp.Compare(a.number, b.number) })
 	return calls
 }
 
+// keepRelease keeps the release of a call that is about to be removed until a trunk to its server opens. Calls that the server has
+// answered are as many as it could hold. An adopted one still counts towards the limit on adopted calls, because it may not exist.
+func (s *server) keepRelease(call *callState) { s.awaitingRelease[call] = struct{}{} }
+
+// dropServerRelease drops the release of a call that waits for a trunk.
+func (n *Node) dropServerRelease(call *callState) {
+	delete(call.server.awaitingRelease, call)
+	n.adopted.remove(call)
+}
+
+// isAwaitingRelease reports whether the release of the call waits for a trunk to its server.
+func (call *callState) isAwaitingRelease() bool {
+	if call.server == nil {
+		return false
+	}
+	_, isAwaiting := call.server.awaitingRelease[call]
+	return isAwaiting
+}
+
 // maintainServer opens and closes trunks to a server as needed and ends its calls once the server is known to
 // be dead.
 func (n *Node) maintainServer(srv *server) {
@@ -65,6 +72,9 @@
 			n.closeTrunks(srv, "the server is gone")
 		}
 		if n.now-srv.withdrawnAt > goneRetention {
+			for _, call := range srv.awaitingRelease.inOrder() {
+				n.dropServerRelease(call)
+			}
 			delete(n.servers, srv.id)
 			delete(n.serversByNumber, srv.number)
 			n.serverOrder = slices.DeleteFunc(n.serverOrder, func(other *server) bool { return other == srv })
@@ -150,7 +160,7 @@
 // until a trunk opens.
 func (n *Node) endLostCalls(srv *server, cause string, keepReleases bool) {
 	n.log(LogEntry{Event: "calls cut", Server: srv.id, Cause: cause, Count: len(srv.standing)})
-	for _, call := range srv.standingCalls() {
+	for _, call := range srv.standing.inOrder() {
 		if keepReleases {
 			srv.keepRelease(call)
 		}
--- a/internal/edge/access/trunks.go
+++ b/internal/edge/access/trunks.go
@@ -66,10 +66,10 @@
 	t.isOpen, t.lastUsed = true, n.now
 	srv := t.server
 	srv.reachability.ConnOpened(n.now)
-	for _, release := range srv.pendingReleases {
-		n.write(t.id, encodeMessage(trunk.TypeRelease, release.callID, trunk.CauseNormal))
+	for _, call := range srv.awaitingRelease.inOrder() {
+		n.write(t.id, encodeMessage(trunk.TypeRelease, call.id, trunk.CauseNormal))
+		n.dropServerRelease(call)
 	}
-	srv.pendingReleases = nil
 	for _, att := range slices.Clone(srv.queue) {
 		if att.trunk == nil && t.canCarry(att.call) {
 			n.sendSetUp(att, t)
