edge: releases of calls that a client has made up take no place of true ones

Need: a caller whose connection ended as the release of its call was written, or that had none open, never heard of the end of its call, if another client had named made-up calls with `at` on connections that it closed at once. Cause: the releases of such calls are remembered and sent again like all others; 500 a connection and 20,000 that wait gave way oldest first, or were not kept. Change: a release says whether its call is known only from its caller (no set-up by this process, no release by its server). On a connection such releases give way first and displace no other; those that wait have a list of their own and go last (release_queue.go). Left: such releases still reach other callers' connections.

--- a/internal/edge/access/caller_releases.go
+++ b/internal/edge/access/caller_releases.go
@@ -8,12 +8,11 @@
 
 // Limits on releases that callers have not received or confirmed.
 const (
-	maxUnconfirmedReleases   = 500
-	maxPendingCallerReleases = 20000
-	unsentReleaseTimeout     = 10 * time.Minute       // how long a release waits that was never written
-	resentReleaseTimeout     = 30 * time.Second       // how long a release waits that was written before
-	releaseResendWindow      = time.Second            // a release is sent again if the connection that it was written to ends within this time
-	anyConnAfter             = 500 * time.Millisecond // a release that has waited this long goes to any connection from callers
+	maxUnconfirmedReleases = 500                    // of one connection
+	unsentReleaseTimeout   = 10 * time.Minute       // how long a release waits that was never written
+	resentReleaseTimeout   = 30 * time.Second       // how long a release waits that was written before
+	releaseResendWindow    = time.Second            // a release is sent again if the connection that it was written to ends within this time
+	anyConnAfter           = 500 * time.Millisecond // a release that has waited this long goes to any connection from callers
 )
 
 // callerRelease is a release of a call for its caller. It goes to the connection on which the call was received. If that
@@ -21,17 +20,26 @@
 // anyConnAfter, any. A connection that is not proven may belong to a client that ignores the release. Therefore a release
 // that was written only to such a connection is sent again on the next proven one, unless a caller has confirmed it.
 type callerRelease struct {
-	callID  uint64
-	message []byte
-	conn    ConnID        // on which the call was received
-	since   time.Duration // when the call ended
-	sentAt  time.Duration // when it was last written; 0: never
+	callID    uint64
+	message   []byte
+	conn      ConnID        // on which the call was received
+	since     time.Duration // when the call ended
+	sentAt    time.Duration // when it was last written; 0: never
+	isClaimed bool          // the call is known only from its caller, and may not exist
 }
 
-// releaseAtCaller notifies a caller of the end of its call.
-func (n *Node) releaseAtCaller(call *callState, cause int) {
+// forwardRelease notifies a caller that its call server has released its call.
+func (n *Node) forwardRelease(call *callState, cause byte) { n.writeFirstRelease(call, cause, false) }
+
+// releaseAtCaller notifies a caller of the end of its call, of which the call server has said nothing. A call that this process has
+// not set up is known only from its caller.
+func (n *Node) releaseAtCaller(call *callState, cause byte) {
+	n.writeFirstRelease(call, cause, call.attempts == 0)
+}
+
+func (n *Node) writeFirstRelease(call *callState, cause byte, isClaimed bool) {
 	n.Totals.CallerReleases++
-	rel := callerRelease{callID: call.id, message: call.release(cause), conn: call.conn, since: n.now}
+	rel := callerRelease{callID: call.id, message: call.release(cause), conn: call.conn, since: n.now, isClaimed: isClaimed}
 	if c := n.callerConns[call.conn]; c != nil {
 		n.writeRelease(rel, c)
 		return
@@ -49,8 +57,8 @@
 		n.writeRelease(rel, to)
 		return
 	}
-	if len(n.pendingReleases) < maxPendingCallerReleases && !rel.hasExpired(n.now) {
-		n.pendingReleases = append(n.pendingReleases, rel)
+	if !rel.hasExpired(n.now) {
+		n.pendingReleases.push(rel)
 	}
 }
 
@@ -80,16 +88,29 @@
 	return len(c.unconfirmedReleases) < maxUnconfirmedReleases
 }
 
-// writeRelease writes a release to a connection and remembers it until it is confirmed. On a proven connection the oldest
-// release gives way, and one that was written a while ago has been read.
+// writeRelease writes a release to a connection and remembers it until it is confirmed. On a proven connection one that was
+// written a while ago has been read.
 func (n *Node) writeRelease(rel callerRelease, to *callerConn) {
 	rel.sentAt = n.now
+	n.write(to.id, rel.message)
 	isOldestRead := to.Proven && len(to.unconfirmedReleases) > 0 && n.now-to.unconfirmedReleases[0].sentAt >= releaseResendWindow
-	if isOldestRead || !to.hasRoomForRelease() {
+	if isOldestRead {
 		to.unconfirmedReleases = slices.Clone(to.unconfirmedReleases[1:])
 	}
-	to.unconfirmedReleases = append(to.unconfirmedReleases, rel)
-	n.write(to.id, rel.message)
+	if to.hasRoomForRelease() || to.forgetRelease(rel.isClaimed) {
+		to.unconfirmedReleases = append(to.unconfirmedReleases, rel)
+	}
+}
+
+// forgetRelease makes room for one more release: the oldest of a claimed call gives way, or if there is none, the oldest of all,
+// but not to that of a claimed call. It reports whether there is room.
+func (c *callerConn) forgetRelease(isForClaimed bool) bool {
+	i := slices.IndexFunc(c.unconfirmedReleases, func(rel callerRelease) bool { return rel.isClaimed })
+	if i < 0 && isForClaimed {
+		return false
+	}
+	c.unconfirmedReleases = slices.Delete(c.unconfirmedReleases, max(i, 0), max(i, 0)+1)
+	return true
 }
 
 // confirmRelease records that the caller has confirmed the release of a call.
@@ -109,7 +130,7 @@
 
 // dropRelease drops a release that waits for a connection, because its caller has released the call itself.
 func (n *Node) dropRelease(callID uint64) {
-	n.pendingReleases = slices.DeleteFunc(n.pendingReleases, func(rel callerRelease) bool { return rel.callID == callID })
+	n.pendingReleases.remove(func(rel callerRelease) bool { return rel.callID == callID })
 }
 
 // markProven records that a call received on a connection was answered or adopted, and sends on it the releases that wait
@@ -138,7 +159,7 @@
 	for _, c := range unproven {
 		c.unconfirmedReleases = slices.DeleteFunc(c.unconfirmedReleases, func(rel callerRelease) bool {
 			if c.mayIgnore(&rel) {
-				n.pendingReleases = append(n.pendingReleases, rel)
+				n.pendingReleases.push(rel)
 			}
 			return c.mayIgnore(&rel)
 		})
@@ -147,25 +168,19 @@
 
 // sendPendingReleases sends the releases that wait on a connection, as many as it can take.
 func (n *Node) sendPendingReleases(c *callerConn) {
-	sent := 0
-	for ; sent < len(n.pendingReleases) && (c.Proven || c.hasRoomForRelease()); sent++ {
-		n.writeRelease(n.pendingReleases[sent], c)
-	}
-	if sent > 0 {
-		n.pendingReleases = slices.Clone(n.pendingReleases[sent:])
+	for n.pendingReleases.len() > 0 && (c.Proven || c.hasRoomForRelease()) {
+		n.writeRelease(n.pendingReleases.pop(), c)
 	}
 }
 
 // maintainReleases drops releases that have found no caller in time, and sends those that have waited for long on any
 // connection from callers.
 func (n *Node) maintainReleases() {
-	if len(n.pendingReleases) == 0 {
+	if n.pendingReleases.len() == 0 {
 		return
 	}
-	n.pendingReleases = slices.DeleteFunc(n.pendingReleases, func(rel callerRelease) bool {
-		return rel.hasExpired(n.now)
-	})
-	hasWaited := slices.ContainsFunc(n.pendingReleases, func(rel callerRelease) bool { return n.now-rel.since >= anyConnAfter })
+	n.pendingReleases.remove(func(rel callerRelease) bool { return rel.hasExpired(n.now) })
+	hasWaited := n.pendingReleases.contains(func(rel callerRelease) bool { return n.now-rel.since >= anyConnAfter })
 	if !hasWaited {
 		return
 	}
--- a/internal/edge/access/callers.go
+++ b/internal/edge/access/callers.go
@@ -8,6 +8,7 @@
 	"larkrouter"
 	"larkrouter/internal/edge/admission"
 	codec "larkrouter/internal/edge/caller"
+	"larkrouter/internal/edge/trunk"
 	"larkrouter/internal/sip"
 )
 
@@ -169,7 +170,7 @@
 			n.cancelCall(call)
 		case call != nil && call.isStanding && call.conn == conn: // the CANCEL crossed the answer: the call stands
 			n.releaseByCaller(call, codec.ParseCause(msg.Get("Reason")))
-			n.releaseAtCaller(call, 16)
+			n.releaseAtCaller(call, trunk.CauseNormal)
 		}
 	case msg.Method == sip.BYE:
 		switch call := n.callsByID[id]; {
--- a/internal/edge/access/calls.go
+++ b/internal/edge/access/calls.go
@@ -1,7 +1,6 @@
 package access
 
 import (
-	"cmp"
 	"fmt"
 	"time"
 
@@ -142,8 +141,8 @@
 }
 
 // release returns the encoded release of the call for its caller.
-func (call *callState) release(cause int) []byte {
-	return codec.Release(string(call.callID[:]), string(call.calledNumber[:]), cause)
+func (call *callState) release(cause byte) []byte {
+	return codec.Release(string(call.callID[:]), string(call.calledNumber[:]), int(cause))
 }
 
 // removeCall removes a call and remembers that it has ended.
@@ -189,13 +188,16 @@
 	call := &callState{number: n.lastCallNumber, id: setUp.ID, callID: newHexText(msg.Get("Call-ID")),
 		calledNumber: newHexText(setUp.Number), conn: c.id, isStanding: true, standingSince: n.now}
 	srv := n.servers[setUp.StandingAt]
-	if ended, hasEnded := n.endedCall(setUp.ID); hasEnded {
-		n.releaseAtCaller(call, int(cmp.Or(ended.cause, 41)))
+	if ended, hasEnded := n.endedCall(setUp.ID); hasEnded && ended.cause != 0 {
+		n.forwardRelease(call, ended.cause)
+		return
+	} else if hasEnded {
+		n.releaseAtCaller(call, trunk.CauseReset)
 		return
 	}
 	if srv == nil {
 		n.Totals.UnknownCalls++
-		n.releaseAtCaller(call, 41)
+		n.releaseAtCaller(call, trunk.CauseReset)
 		return
 	}
 	n.Totals.Adopted++
--- a/internal/edge/access/fault_scripts_test.go
+++ b/internal/edge/access/fault_scripts_test.go
@@ -1,6 +1,11 @@
 package access
 
-import "testing"
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+)
 
 // TestRestartEndsCalls guards against calls, above all named ones, that stand for good: their server starts anew before this process has
 // sent it any set-up. A call named after the start may stand at the new process and continues.
@@ -90,3 +95,27 @@
 		"no connection for minutes":       callerGone + `s-1 release 1; wait 5m; b try 2; b want BYE/1`,
 	})
 }
+
+// TestMadeUpCallsDisplaceNoRelease guards against a caller that never hears of the end of its call, because the releases of calls
+// that another client has made up took the place of its release.
+func TestMadeUpCallsDisplaceNoRelease(t *testing.T) {
+	var flood strings.Builder
+	for conn := range maxPendingCallerReleases/maxUnconfirmedReleases + 1 {
+		for n := range maxUnconfirmedReleases {
+			fmt.Fprintf(&flood, "x%d misname %d;", conn, 1000+conn*maxUnconfirmedReleases+n)
+		}
+		fmt.Fprintf(&flood, "x%d close;", conn)
+	}
+	for name, script := range map[string]string{
+		"written and not read":     `a call 1; s-1 release 1;` + flood.String() + `a close; b try 2`,
+		"waits for a connection":   `a call 1; a close;` + flood.String() + `s-1 release 1; b try 2`,
+		"both, and calls are lost": `a call 1;` + flood.String() + `a close; s-1 reset; s-1 refuse; wait 1400ms; s-1 accept; b try 2`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := runScript(t, testConfig(), script)
+			if got := s.receivedCalls(s.callers["b"]); !slices.Contains(got, "BYE/1") {
+				t.Errorf("%d messages to the caller, no BYE for its call", len(got))
+			}
+		})
+	}
+}
--- a/internal/edge/access/node.go
+++ b/internal/edge/access/node.go
@@ -95,7 +95,7 @@
 	ended            endedCalls // calls that ended at this node
 	releasedUnknown  endedCalls // calls that servers released and that the node did not know
 	callerConns      map[ConnID]*callerConn
-	pendingReleases  []callerRelease // releases for callers, while no suitable caller connection is open
+	pendingReleases  releaseQueue // releases for callers, while no suitable caller connection is open
 	servers          map[string]*server
 	serversByNumber  map[uint32]*server
 	serverOrder      []*server
--- a/internal/edge/access/trunks.go
+++ b/internal/edge/access/trunks.go
@@ -212,7 +212,7 @@
 			event.Outcome = larkrouter.Completed
 		}
 		n.removeCall(call)
-		n.releaseAtCaller(call, int(cmp.Or(cause, trunk.CauseReset)))
+		n.forwardRelease(call, cmp.Or(cause, trunk.CauseReset))
 		n.notifyModule(event)
 	case call == nil && !n.hasEnded(msg.Call): // of a previous run of the node; its caller may still name it
 		n.Totals.UnknownCalls++
