node: the list state says when only the list of the previous process is in use

Need: after a restart with a store, larkNodeListState said held(2) though nothing had come from the list server, and after a lost source a NOTIFY without a list said held again. Cause: every applied list set the state to known, the persisted one too; a NOTIFY cleared the loss before its body was read. Change: a fourth state, persisted(4) in the MIB; a failed subscription makes it lost(3); only a list that was applied makes it held. The other three values stay as they are. Test: TestPersistedServers. The NOTIFY of the tests is built in one place.

--- a/internal/node/dialog_test.go
+++ b/internal/node/dialog_test.go
@@ -387,7 +387,7 @@
 }
 
 // TestPersistedServers checks that the persisted list is passed to the module as a cached list before the list server
-// has answered.
+// has answered. It guards against a list state that says "known" although nothing has come from the list server.
 func TestPersistedServers(t *testing.T) {
 	s := newScript(t, func(c *Config) {
 		c.PersistedServers, c.Servers = c.Servers, nil
@@ -396,9 +396,40 @@
 	if s.countEvents("list kind 2 version 1 servers 2") != 1 {
 		t.Errorf("module events %q; want one 'list kind 2 version 1 servers 2'", s.events)
 	}
-	s.want(sip.SUBSCRIBE)
+	subscribe := s.want(sip.SUBSCRIBE).Send
 	s.receive(callerPeer, invite("a"))
 	s.want(sip.INVITE)
+	expectState := func(when string, want ListState) {
+		t.Helper()
+		if got := s.node.Snapshot(s.now).ListState; got != want {
+			t.Errorf("%s: list state %d, want %d", when, got, want)
+		}
+	}
+	expectState("before the list server has answered", ListPersisted)
+	s.receive(s.node.cfg.ListServer, reply(subscribe, 503))
+	expectState("after its refusal", ListSourceLost)
+	again, isSent := s.find(sip.SUBSCRIBE)
+	for ; !isSent; again, isSent = s.find(sip.SUBSCRIBE) {
+		s.advance(10 * time.Millisecond)
+	}
+	subscribe = again.Send
+	s.receive(s.node.cfg.ListServer, listNotify(subscribe, 1, nil))
+	expectState("after a NOTIFY without a list", ListSourceLost)
+	body, _ := json.Marshal(fullList(s.node.cfg.PersistedServers...))
+	s.receive(s.node.cfg.ListServer, listNotify(subscribe, 2, body))
+	expectState("after a list", ListKnown)
+}
+
+// listNotify returns a NOTIFY of the list server for a subscription.
+func listNotify(subscribe *sip.Message, seq int, body []byte) *sip.Message {
+	target, _ := sip.ParseAddress(subscribe.Get("Contact"))
+	notify := sip.NewRequest(sip.NOTIFY, target.URI.String(), subscribe.Get("To")+";tag=n", subscribe.Get("From"),
+		subscribe.Get("Call-ID"), uint32(seq), 70)
+	notify.Add("Event", pool.Event)
+	notify.Add("Subscription-State", "active;expires=40")
+	notify.Body = body
+	notify.Prepend("Via", "SIP/2.0/UDP 127.0.0.1:5090;branch=z9hG4bKn"+subscribe.Get("Call-ID")+strconv.Itoa(seq))
+	return notify
 }
 
 // TestSubscription checks the list by SUBSCRIBE and NOTIFY: full and partial documents, a version gap, a rejected
@@ -409,13 +440,7 @@
 	notify := func(sub *sip.Message, seq int, d pool.Document) {
 		t.Helper()
 		body, _ := json.Marshal(d)
-		target, _ := sip.ParseAddress(sub.Get("Contact"))
-		m := sip.NewRequest(sip.NOTIFY, target.URI.String(), sub.Get("To")+";tag=n", sub.Get("From"), sub.Get("Call-ID"), uint32(seq), 70)
-		m.Add("Event", pool.Event)
-		m.Add("Subscription-State", "active;expires=40")
-		m.Body = body
-		m.Prepend("Via", "SIP/2.0/UDP 127.0.0.1:5090;branch=z9hG4bKn"+sub.Get("Call-ID")+strconv.Itoa(seq))
-		s.receive(list, m)
+		s.receive(list, listNotify(sub, seq, body))
 		s.want("200")
 	}
 	one, two := testConfig().Servers[0], testConfig().Servers[1]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -164,6 +164,7 @@
 	n.list.ResetVersion()
 	update.Kind = larkrouter.ListCached
 	n.applyListUpdate(update)
+	n.listState = ListPersisted
 }
 
 // applyListUpdate passes a change of the server list to the driver, the log and the module.
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -17,11 +17,12 @@
 // ListState is the state of the server list.
 type ListState uint8
 
-// The list is not known yet, is known, or is known but its source is lost.
+// States of the server list.
 const (
-	ListUnknown ListState = iota
-	ListKnown
-	ListSourceLost
+	ListUnknown    ListState = iota
+	ListKnown                // from its source
+	ListSourceLost           // the last one stays in use
+	ListPersisted            // only the one that the previous process persisted is in use
 )
 
 // ServerSnapshot is the state of one server in a Snapshot.
--- a/internal/node/subscribe.go
+++ b/internal/node/subscribe.go
@@ -164,7 +164,7 @@
 	n := s.node
 	s.reset()
 	n.Stats.ListFailures++
-	if n.listState == ListKnown {
+	if n.listState != ListUnknown {
 		n.listState = ListSourceLost
 	}
 	n.emitRecord(LogRecord{Level: Warn, Event: "list", Cause: "list server " + n.cfg.ListServer.String() + ": " + err.Error() +
@@ -206,9 +206,6 @@
 		return
 	}
 	s.state = subActive
-	if n.listState == ListSourceLost {
-		n.listState = ListKnown
-	}
 	if expires, ok := sip.ParseDeltaSeconds(sip.ParamValue(req.Get("Subscription-State"), "expires")); ok && expires > 0 {
 		s.scheduleRefresh(expires)
 	}
--- a/internal/snmp/mib/objects.go
+++ b/internal/snmp/mib/objects.go
@@ -24,7 +24,7 @@
 	Index         = Kind{"Integer32 (1..2147483647)", ber.Integer}
 	ServerID      = Kind{"Unsigned32", ber.Gauge32}
 	TruthValue    = Kind{"TruthValue", ber.Integer}
-	ListState     = Kind{"INTEGER { none(1), held(2), lost(3) }", ber.Integer}
+	ListState     = Kind{"INTEGER { none(1), held(2), lost(3), persisted(4) }", ber.Integer}
 	ServerPhase   = Kind{"INTEGER { ready(1), draining(2), gone(3) }", ber.Integer}
 	ServerState   = Kind{"INTEGER { open(1), pressed(2), cold(3), closed(4), unknown(5) }", ber.Integer}
 )
@@ -71,7 +71,8 @@
 		{Name: "larkNodeCallsHeld", Kind: Gauge32, Description: "Those of them that have no attempt out: the module holds them."},
 		{Name: "larkNodeCallsStanding", Kind: Gauge32, Description: "Calls that stand."},
 		{Name: "larkNodeListState", Kind: ListState,
-			Description: "The pool list: none known yet, held, or its source lost while the last one stays."},
+			Description: "The pool list: none known yet, held, its source lost while the last one stays, or " +
+				"only the one in use that the previous process persisted."},
 		{Name: "larkNodeListVersion", Kind: Unsigned32, Description: "Version of the pool list in force, its low 32 bits."},
 		{Name: "larkNodeBusy", Kind: Gauge32, Description: "Share of its time that the node's loop worked, per cent, over some seconds."},
 	}},
