node: a mark that no request could miss is not cleared where the call ends

Suspected: a failed request inside a dialog clears the mark of a pending INVITE whatever its method, so that a second INVITE could be relayed while one is out. It cannot happen: the mark is set only by an INVITE relayed on a confirmed leg, a leg is confirmed in the same step in which its call stands, and onFailure ends a call that stands. In an early dialog no INVITE is relayed (491).

--- a/internal/node/indialog.go
+++ b/internal/node/indialog.go
@@ -153,7 +153,6 @@
 		return
 	}
 	r.answered = true
-	r.source.other.invitePending = false
 	r.serverTx.Respond(sip.NewResponse(r.req, 408, "", ""))
 	n.dropCall(r.source.call, "session lost: "+err.Error(), r.source.other)
 }
