node: a standing call no longer keeps the text of a later ACK

Suspected: a dialog keeps its request's header, and with it the text of the whole message. Shown otherwise: the first INVITE and its answer are copied (3 to 5 KB a call, with 24 KB of padding in each message), but the ACK to an INVITE without a body that comes more than 32 s after the set-up is kept for the rest of the call, with the other party's whole message. Cause: the ACK is kept for retransmitted answers and discarded only by the timer that the set-up starts. Change: an ACK that copies the other party's fields is discarded 64 T1 after it was sent.

--- a/internal/node/dialog.go
+++ b/internal/node/dialog.go
@@ -26,8 +26,9 @@
 	localSeq, remoteSeq uint32
 	inviteSeq           uint32 // of the last INVITE sent on this leg
 	confirmed, ended    bool
-	invitePending       bool // an INVITE sent on this leg is unanswered (section 14.1)
-	lastAck             *sip.Message
+	invitePending       bool         // an INVITE sent on this leg is unanswered (section 14.1)
+	lastAck             *sip.Message // nil once the 2xx is no longer retransmitted
+	ackTimer            timers.Timer
 	ackPending          bool // the ACK to a 2xx waits for the ACK on the other leg
 	unacked2xx          *pending2xx
 }
@@ -145,8 +146,10 @@
 }
 
 // sendAck acknowledges the 2xx to the last INVITE sent on this leg. source, if not nil, is the ACK received on the
-// other leg, whose body is copied.
+// other leg, whose fields and body are copied. They keep the text of that whole message in memory, so that the ACK is discarded
+// when the 2xx is no longer retransmitted (64 T1).
 func (l *dialogLeg) sendAck(n *Node, source *sip.Message) {
+	n.timers.Stop(&l.ackTimer)
 	ack := sip.NewRequest(sip.ACK, l.target, l.local, l.remote, l.callID, l.inviteSeq, 70)
 	for _, route := range l.routes {
 		ack.Add("Route", route)
@@ -154,6 +157,7 @@
 	ack.Add("Session-ID", l.call.sessionID)
 	if source != nil {
 		copyEndToEnd(ack, source)
+		n.timers.Set(&l.ackTimer, n.now+64*n.transactions.Times.T1, func() { l.lastAck = nil })
 	}
 	ack.Prepend("Via", n.ident.NewVia(l.nextHop.Transport))
 	l.lastAck, l.ackPending = ack, false
