snmp: suppressed notifications about overload and the list are counted too

Need: larkAgentNotificationsHeld reads as all notifications that the rate limit kept back, and counted those about servers only. Cause: the rate limit stood three times, and only the copy for servers counted. Change: one type announcement limits and counts for servers, overload and the list; the long Observe is split by subject. Test: TestOverloadHysteresis and TestListNotifications check the count: 0 instead of 1 before (both failed), 1 now. The property test of a server that changes often passes.

--- a/internal/snmp/notify/notify.go
+++ b/internal/snmp/notify/notify.go
@@ -7,11 +7,12 @@
 //     has been below LeaveShare for Settle.
 //   - The server list is lost when its source has failed for ListAfter. It is back as soon as the source works again.
 //   - The interval between two notifications for the same server, about overload or about the list is at least MinGap.
-//     Notifications suppressed for a server are counted. When the interval has passed, the current state is reported, so
+//     Suppressed notifications are counted. When the interval has passed, the current state is reported, so
 //     that the last notification always matches it.
 package notify
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -66,27 +67,32 @@
 
 // Decider keeps the last reported states and decides which notifications are due.
 type Decider struct {
-	settings          Settings
-	servers           map[uint32]*serverState
-	windowStart       time.Duration
-	offeredBefore     uint64 // Observation.Offered at windowStart
-	refusedBefore     uint64 // Observation.Refused at windowStart
-	overloaded        bool
-	belowLeaveSince   time.Duration // time since which the share has been below LeaveShare; -1 if it is not
-	overloadSentAt    time.Duration // when the last notification about overload was sent
-	overloadAnnounced bool          // value of overloaded in the last notification
-	listFailingSince  time.Duration // time since which the source of the list has failed; -1 if it works
-	listLost          bool
-	listLostAnnounced bool          // value of listLost in the last notification
-	listSentAt        time.Duration // when the last notification about the list was sent
-	Suppressed        uint64        // number of suppressed notifications about servers
+	settings         Settings
+	servers          map[uint32]*serverState
+	windowStart      time.Duration
+	offeredBefore    uint64 // Observation.Offered at windowStart
+	refusedBefore    uint64 // Observation.Refused at windowStart
+	overloaded       bool
+	belowLeaveSince  time.Duration // time since which the share has been below LeaveShare; -1 if it is not
+	overload         announcement[bool]
+	listFailingSince time.Duration // time since which the source of the list has failed; -1 if it works
+	listLost         bool
+	list             announcement[bool]
+	Suppressed       uint64 // number of suppressed notifications
 }
 
 // serverState holds the observed and the reported state of one server.
 type serverState struct {
-	state, announced State         // last observed and last reported state
-	since, sentAt    time.Duration // when state was first observed, and when the last notification was sent
-	suppressed       State         // state whose notification was suppressed and counted last
+	state     State         // last observed state
+	since     time.Duration // when it was first observed
+	announced announcement[State]
+}
+
+// announcement is the last reported value of what notifications are sent about.
+type announcement[T comparable] struct {
+	value      T
+	sentAt     time.Duration
+	suppressed T // value whose notification was suppressed and counted last
 }
 
 // longAgo is the time of the last notification before any was sent.
@@ -94,74 +100,77 @@
 
 // New returns a Decider.
 func New(s Settings) *Decider {
-	return &Decider{settings: s, servers: map[uint32]*serverState{}, belowLeaveSince: -1, overloadSentAt: longAgo,
-		listSentAt: longAgo, listFailingSince: -1}
+	return &Decider{settings: s, servers: map[uint32]*serverState{}, belowLeaveSince: -1, listFailingSince: -1,
+		overload: announcement[bool]{sentAt: longAgo}, list: announcement[bool]{sentAt: longAgo}}
+}
+
+// update reports whether a notification of the value is due now. One that the interval since the last one suppresses is counted.
+func (a *announcement[T]) update(now time.Duration, value T, minGap time.Duration, suppressedCount *uint64) bool {
+	if value == a.value {
+		a.suppressed = a.value
+		return false
+	}
+	if now-a.sentAt >= minGap {
+		a.value, a.sentAt, a.suppressed = value, now, value
+		return true
+	}
+	if a.suppressed != value {
+		a.suppressed = value
+		*suppressedCount++
+	}
+	return false
 }
 
 // Observe takes an observation and returns the notifications that are due, those about servers first, ordered by number.
 func (d *Decider) Observe(now time.Duration, observed Observation) []Event {
-	var events []Event
-	ids := make([]uint32, 0, len(observed.Servers))
-	for id := range observed.Servers {
-		ids = append(ids, id)
+	events := d.observeServers(now, observed.Servers)
+	d.updateOverload(now, observed)
+	if d.overload.update(now, d.overloaded, d.settings.MinGap, &d.Suppressed) {
+		events = append(events, Event{Kind: map[bool]Kind{true: OverloadEntered, false: OverloadLeft}[d.overloaded]})
+	}
+	d.updateList(now, observed.ListLost)
+	if d.list.update(now, d.listLost, d.settings.MinGap, &d.Suppressed) {
+		events = append(events, Event{Kind: map[bool]Kind{true: ListLost, false: ListBack}[d.listLost]})
 	}
-	slices.Sort(ids)
-	for _, id := range ids {
+	return events
+}
+
+// observeServers returns the notifications about servers that are due.
+func (d *Decider) observeServers(now time.Duration, observed map[uint32]State) (events []Event) {
+	for _, id := range slices.Sorted(maps.Keys(observed)) {
 		server := d.servers[id]
 		if server == nil {
-			server = &serverState{sentAt: longAgo, since: now}
+			server = &serverState{since: now, announced: announcement[State]{sentAt: longAgo}}
 			d.servers[id] = server
 		}
-		if state := observed.Servers[id]; state != server.state {
+		if state := observed[id]; state != server.state {
 			server.state, server.since = state, now
 		}
-		due := server.state != server.announced && (server.state != Normal || now-server.since >= d.settings.Settle)
-		switch {
-		case !due:
-			server.suppressed = server.announced
-		case now-server.sentAt < d.settings.MinGap:
-			if server.suppressed != server.state {
-				server.suppressed = server.state
-				d.Suppressed++
-			}
-		default:
-			server.announced, server.sentAt, server.suppressed = server.state, now, server.state
-			events = append(events, Event{map[State]Kind{Normal: ServerBack, Cold: ServerCold, Suspended: ServerClosed}[server.state], id})
-		}
-	}
-	for id := range d.servers {
-		if _, ok := observed.Servers[id]; !ok { // the server was removed from the list
-			delete(d.servers, id)
+		value := server.state
+		if value == Normal && now-server.since < d.settings.Settle {
+			value = server.announced.value
 		}
-	}
-	d.updateOverload(now, observed)
-	if d.overloaded != d.overloadAnnounced {
-		if now-d.overloadSentAt >= d.settings.MinGap {
-			d.overloadAnnounced, d.overloadSentAt = d.overloaded, now
-			kind := OverloadLeft
-			if d.overloaded {
-				kind = OverloadEntered
-			}
-			events = append(events, Event{Kind: kind})
+		if server.announced.update(now, value, d.settings.MinGap, &d.Suppressed) {
+			events = append(events, Event{map[State]Kind{Normal: ServerBack, Cold: ServerCold, Suspended: ServerClosed}[value], id})
 		}
 	}
+	maps.DeleteFunc(d.servers, func(id uint32, _ *serverState) bool { // removed from the list
+		_, isListed := observed[id]
+		return !isListed
+	})
+	return events
+}
+
+// updateList decides whether the list is lost.
+func (d *Decider) updateList(now time.Duration, isFailing bool) {
 	switch {
-	case !observed.ListLost:
+	case !isFailing:
 		d.listLost, d.listFailingSince = false, -1
 	case d.listFailingSince < 0:
 		d.listFailingSince = now
 	case now-d.listFailingSince >= d.settings.ListAfter:
 		d.listLost = true
 	}
-	if d.listLost != d.listLostAnnounced && now-d.listSentAt >= d.settings.MinGap {
-		d.listLostAnnounced, d.listSentAt = d.listLost, now
-		kind := ListBack
-		if d.listLost {
-			kind = ListLost
-		}
-		events = append(events, Event{Kind: kind})
-	}
-	return events
 }
 
 // updateOverload evaluates the share of refused calls at the end of each window.
--- a/internal/snmp/notify/notify_test.go
+++ b/internal/snmp/notify/notify_test.go
@@ -28,6 +28,14 @@
 	}
 }
 
+// expectSuppressed checks the number of suppressed notifications, of whatever kind.
+func expectSuppressed(t *testing.T, d *Decider, want uint64) {
+	t.Helper()
+	if d.Suppressed != want {
+		t.Errorf("suppressed notifications: got %d, want %d", d.Suppressed, want)
+	}
+}
+
 // TestServerNotifications checks that a server is reported as back only after Settle, and that a change within MinGap is
 // reported when that has passed.
 func TestServerNotifications(t *testing.T) {
@@ -41,9 +49,7 @@
 	expectKinds(t, "normal for Settle", d.Observe(seconds(19), withServerState(Normal)), ServerBack)
 	expectKinds(t, "cold, within MinGap", d.Observe(seconds(20), withServerState(Cold)))
 	expectKinds(t, "cold, after MinGap", d.Observe(seconds(29), withServerState(Cold)), ServerCold)
-	if d.Suppressed != 1 {
-		t.Errorf("suppressed notifications: got %d, want 1", d.Suppressed)
-	}
+	expectSuppressed(t, d, 1)
 }
 
 // TestOverloadHysteresis checks that overload begins at the enter threshold and ends only after the share has been below the
@@ -64,6 +70,9 @@
 	expectKinds(t, "above the enter threshold again, already reported", observe(25, 0.2))
 	expectKinds(t, "below the leave threshold", observe(30, 0))
 	expectKinds(t, "below the leave threshold for Settle", observe(35, 0), OverloadLeft)
+	expectKinds(t, "above the enter threshold, within MinGap", observe(40, 0.2))
+	expectKinds(t, "above the enter threshold, after MinGap", observe(45, 0.2), OverloadEntered)
+	expectSuppressed(t, d, 1)
 	d = New(DefaultSettings)
 	d.Observe(0, Observation{})
 	expectKinds(t, "too few calls in the window", d.Observe(seconds(5), Observation{Offered: 5, Refused: 5}))
@@ -76,7 +85,9 @@
 	expectKinds(t, "failing for less than ListAfter", d.Observe(seconds(9), Observation{ListLost: true}))
 	expectKinds(t, "failing for ListAfter", d.Observe(seconds(10), Observation{ListLost: true}), ListLost)
 	expectKinds(t, "back, within MinGap", d.Observe(seconds(12), Observation{}))
+	expectKinds(t, "still within MinGap", d.Observe(seconds(13), Observation{}))
 	expectKinds(t, "back, after MinGap", d.Observe(seconds(20), Observation{}), ListBack)
+	expectSuppressed(t, d, 1)
 }
 
 // TestFlappingServer checks that a server causes at most one notification in MinGap, however its state changes, and that the
