lab: results are ordered by seed, however far apart the seeds are

Need: with seeds more than 2^63 apart the results of a group came in an order that is none, so that the first seed, whose charts the report draws, and the pairs of a comparison could be wrong. Cause: seeds were compared by their difference, which overflows. Change: cmp.Compare; the same in six other places whose ids and times cannot be that far apart.

--- a/internal/demo/scenario.go
+++ b/internal/demo/scenario.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -277,7 +278,7 @@
 		do, what := steps[i].Do, steps[i].Text
 		steps[i].Do = func() { sc.reportStep(what); do() }
 	}
-	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	sc.environment.Run(ctx, steps, sc.Duration())
 }
 
--- a/internal/edge/access/node.go
+++ b/internal/edge/access/node.go
@@ -269,7 +269,7 @@
 			open = append(open, call)
 		}
 	}
-	slices.SortFunc(open, func(a, b *callState) int { return int(a.number) - int(b.number) })
+	slices.SortFunc(open, func(a, b *callState) int { return cmp.Compare(a.number, b.number) })
 	return open
 }
 
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -366,6 +367,21 @@
 	}
 }
 
+// TestGroupsSortSeeds guards against results in an order that depends on the seeds' distance: a difference of seeds overflows.
+func TestGroupsSortSeeds(t *testing.T) {
+	seeds := []uint64{1 << 63, 1, math.MaxUint64, 0, 1<<63 + 1}
+	var all []Result
+	for _, seed := range seeds {
+		all = append(all, Result{Seed: seed})
+	}
+	slices.Sort(seeds)
+	for i, result := range Groups(all)[0].Results {
+		if result.Seed != seeds[i] {
+			t.Errorf("result %d has seed %d, want %d", i, result.Seed, seeds[i])
+		}
+	}
+}
+
 // TestLargeDay checks that a day of the planned size, 261 nodes and 11 servers at 850 calls per second, runs in bounded
 // memory. At its end memory holds the nodes and what the rule checker stores of each call.
 func TestLargeDay(t *testing.T) {
--- a/internal/lab/statistics.go
+++ b/internal/lab/statistics.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -87,7 +88,7 @@
 		g.Results = append(g.Results, r)
 	}
 	for _, g := range groups {
-		slices.SortFunc(g.Results, func(a, b Result) int { return int(int64(a.Seed) - int64(b.Seed)) })
+		slices.SortFunc(g.Results, func(a, b Result) int { return cmp.Compare(a.Seed, b.Seed) })
 	}
 	return groups
 }
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -212,7 +213,7 @@
 	for _, entry := range l.byID {
 		servers = append(servers, *entry)
 	}
-	slices.SortFunc(servers, func(a, b Entry) int { return int(int64(a.ID) - int64(b.ID)) })
+	slices.SortFunc(servers, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
 	return servers
 }
 
--- a/internal/rules/check.go
+++ b/internal/rules/check.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -105,7 +106,7 @@
 func Check(records []Record, f Parameters) Report {
 	c := NewChecker(f)
 	sorted := slices.Clone(records)
-	slices.SortStableFunc(sorted, func(a, b Record) int { return int(a.Time - b.Time) })
+	slices.SortStableFunc(sorted, func(a, b Record) int { return cmp.Compare(a.Time, b.Time) })
 	for i := range sorted {
 		c.Add(sorted[i])
 	}
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/netip"
 	"slices"
@@ -125,7 +126,7 @@
 	for _, s := range l.servers {
 		doc.Servers = append(doc.Servers, l.announcedEntry(s))
 	}
-	slices.SortFunc(doc.Servers, func(a, b pool.Server) int { return int(int64(a.ID) - int64(b.ID)) })
+	slices.SortFunc(doc.Servers, func(a, b pool.Server) int { return cmp.Compare(a.ID, b.ID) })
 	return doc
 }
 
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	iofs "io/fs"
@@ -175,7 +176,7 @@
 		usable = append(usable, loading)
 	}
 	segments = usable
-	slices.SortFunc(segments, func(a, b *loadedSegment) int { return int(int64(a.seg.id) - int64(b.seg.id)) })
+	slices.SortFunc(segments, func(a, b *loadedSegment) int { return cmp.Compare(a.seg.id, b.seg.id) })
 	var lastOps []loadedOp // changes in the newest segment, for its hint file
 	lastSeq := uint64(0)   // highest sequence number read so far
 	for i, loading := range segments {
