--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -367,6 +367,24 @@
 	}
 }
 
+// TestReplacedServersAreCharted guards against a report without the servers that replace others during the day.
+func TestReplacedServersAreCharted(t *testing.T) {
+	t.Parallel()
+	runner := Runner{Dir: t.TempDir()}
+	if _, err := runner.Run(t.Context(), specsOf(smallDay(t, "reload", "fleet.seconds=40"), 1, fleet.Module)); err != nil {
+		t.Fatal(err)
+	}
+	var page bytes.Buffer
+	if err := WriteReport(&page, runner.Dir, "test"); err != nil {
+		t.Fatal(err)
+	}
+	for server, want := range map[string]bool{"server 2": true, "server 5": true, "server 6": false} { // 3 servers, each replaced
+		if got := strings.Contains(page.String(), server+"<"); got != want {
+			t.Errorf("%s is in a legend: %v, want %v", server, got, want)
+		}
+	}
+}
+
 // TestGroupsSortSeeds guards against results in an order that depends on the seeds' distance: a difference of seeds overflows.
 func TestGroupsSortSeeds(t *testing.T) {
 	seeds := []uint64{1 << 63, 1, math.MaxUint64, 0, 1<<63 + 1}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -193,6 +193,12 @@
 	return HeatMap("Share served by worth: "+title, keys[0], keys[1], values[0], values[1], z)
 }
 
+// Limits of what the charts show.
+const (
+	maxChartedWaitMs = 5000
+	maxChartedGate   = 3 // multiple of a server's capacity
+)
+
 // chartsOf draws the charts of a day: the share served over time by all policies, and the outcomes, waiting times and gate
 // rates of the module with the first seed.
 func chartsOf(dir string, group *Group, groups []*Group) (*DayCharts, error) {
@@ -231,22 +237,9 @@
 	if err != nil {
 		return nil, err
 	}
-	seconds := columns["second"]
-	var outcomes, waits, gates []LineSeries
-	for _, what := range []string{"offered", "in_aim", "late", "refused", "failed", "cut"} {
-		sum := make([]float64, len(seconds))
-		for _, c := range result.Classes {
-			for i, v := range columns[c.Name+"_"+what] {
-				sum[i] += v
-			}
-		}
-		outcomes = append(outcomes, LineSeries{strings.ReplaceAll(what, "_", " "), seconds, sum})
-	}
-	for i := range min(result.Servers, len(lineColors)) {
-		name := fmt.Sprintf("server %d", i)
-		waits = append(waits, LineSeries{name, seconds, clampMax(columns[fmt.Sprintf("server%d_wait_ms", i)], 5000)})
-		gates = append(gates, LineSeries{name, seconds, clampMax(columns[fmt.Sprintf("server%d_gate", i)], 3)})
-	}
+	outcomes := outcomeLines(result, columns)
+	waits := serverLines(columns, "wait_ms", maxChartedWaitMs)
+	gates := serverLines(columns, "gate", maxChartedGate)
 	title := fmt.Sprintf("Calls a second by outcome, seed %d", result.Seed)
 	if err := add(LineChart(title, "calls a second", outcomes, charts.Troubles, 0, notANumber)); err != nil {
 		return nil, err
@@ -302,3 +295,30 @@
 	series.X, series.Y = series.X[:n], series.Y[:n]
 	return series, nil
 }
+
+// outcomeLines returns the calls of all classes by outcome, over time.
+func outcomeLines(result *Result, columns map[string][]float64) (lines []LineSeries) {
+	for _, what := range []string{"offered", "in_aim", "late", "refused", "failed", "cut"} {
+		sum := make([]float64, len(columns["second"]))
+		for _, class := range result.Classes {
+			for i, v := range columns[class.Name+"_"+what] {
+				sum[i] += v
+			}
+		}
+		lines = append(lines, LineSeries{strings.ReplaceAll(what, "_", " "), columns["second"], sum})
+	}
+	return lines
+}
+
+// serverLines returns a column of each server over time, for as many servers as there are colors. Servers that were added
+// during the day follow those of its start.
+func serverLines(columns map[string][]float64, what string, limit float64) (lines []LineSeries) {
+	for i := range len(lineColors) {
+		values, ok := columns[fmt.Sprintf("server%d_%s", i, what)]
+		if !ok {
+			break
+		}
+		lines = append(lines, LineSeries{fmt.Sprintf("server %d", i), columns["second"], clampMax(values, limit)})
+	}
+	return lines
+}
