docs: refuse_with is the status of the module's refusals, max_open always answers 503

Suspected: refuse_with may make the 503 of calls over max_open a 480. It does not: these calls never reach the decision module, and their answer is 503 with a Retry-After.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -87,7 +87,7 @@
 // Calls holds the node's own limits on calls and how it answers them.
 type Calls struct {
 	MaxOpen       int      `toml:"max_open" validate:"gte=0"`                 // calls, standing ones included; 0: no limit
-	RefusalStatus int      `toml:"refuse_with" validate:"oneof=503 480"`      // status of a refusal
+	RefusalStatus int      `toml:"refuse_with" validate:"oneof=503 480"`      // status of a refusal by the module
 	StandsWhen    string   `toml:"stands" validate:"oneof=answered alerting"` // when a call counts as set up: with the 200, or a 180 or 183
 	MaxStopWait   Duration `toml:"stop_wait" validate:"gte=0"`                // how long a stopping node waits for its calls to end
 }
--- a/internal/node/call_test.go
+++ b/internal/node/call_test.go
@@ -287,9 +287,9 @@
 }
 
 // TestOpenCallLimit checks that a call above the limit of open calls is answered 503 at once and is not reported to
-// the module.
+// the module, whatever status the module's refusals have.
 func TestOpenCallLimit(t *testing.T) {
-	s := newScript(t, func(c *Config) { c.MaxCalls = 2 })
+	s := newScript(t, func(c *Config) { c.MaxCalls, c.RefusalStatus = 2, 480 })
 	s.setUpCall("a")
 	s.setUpCall("b")
 	s.receive(callerPeer, invite("c"))
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -37,7 +37,7 @@
 	MaxCalls             int                // limit of open calls, standing ones included; 0: no limit
 	MaxRetryAfter        time.Duration      // longest Retry-After of a 503 that this node generates
 	CountAlertingAsSetUp bool               // a call counts as set up with the first 180 or 183
-	RefusalStatus        int                // status of a refusal: 503 or 480
+	RefusalStatus        int                // status of a refusal by the module: 503 or 480
 	RelayedMethods       []string           // methods relayed inside dialogs; others are answered 405
 	RelayedOptions       []string           // option tags of Require that are relayed (RFC 3261, section 20.32)
 	PersistedServers     []pool.Server      // server list persisted by the previous process
