edge: a client that only names calls is not trusted with the releases of others

What callers saw: a caller whose connection had closed never heard of the end of its call while a bad client that names made-up calls was connected. Cause: such a release goes to the connection last used among those known to handle calls, and naming a call with `at` counted as knowledge, though anyone can do it. The bad client ignored the release, and it was not written again. Change: only an answered call counts. The connection is kept as before, but a release written to it alone goes also to the next one that gets an answer. Test: TestReleaseReachesCaller, "only a client that names calls is there"; before: the other caller got its 200 alone (failed).

--- a/internal/edge/access/caller_releases.go
+++ b/internal/edge/access/caller_releases.go
@@ -16,9 +16,10 @@
 )
 
 // callerRelease is a release of a call for its caller. It goes to the connection on which the call was received. If that
-// has ended, it goes to the best other connection from callers: a proven one, else one with an open set-up, else, after
-// anyConnAfter, any. A connection that is not proven may belong to a client that ignores the release. Therefore a release
-// that was written only to such a connection is sent again on the next proven one, unless a caller has confirmed it.
+// has ended, it goes to the best other connection from callers: one that had an answer, else one with an open set-up, else,
+// after anyConnAfter, any. A connection without an answer may belong to a client that ignores the release, also if calls were
+// named on it. Therefore a release that was written only to such a connection is sent again on the next one that gets an
+// answer, unless a caller has confirmed it.
 type callerRelease struct {
 	callID    uint64
 	message   []byte
@@ -49,7 +50,7 @@
 
 // sendRelease sends a release on the best connection that is open. If there is none, the release waits.
 func (n *Node) sendRelease(rel callerRelease) {
-	to := n.lastUsedConn(func(c *callerConn) bool { return c.Proven })
+	to := n.lastUsedConn(func(c *callerConn) bool { return c.hadAnswer })
 	if to == nil {
 		to = n.lastUsedConn(func(c *callerConn) bool { return c.OpenCalls > 0 && c.hasRoomForRelease() })
 	}
@@ -88,12 +89,12 @@
 	return len(c.unconfirmedReleases) < maxUnconfirmedReleases
 }
 
-// writeRelease writes a release to a connection and remembers it until it is confirmed. On a proven connection one that was
-// written a while ago has been read.
+// writeRelease writes a release to a connection and remembers it until it is confirmed. On a connection that
+// had an answer, one that was written a while ago has been read.
 func (n *Node) writeRelease(rel callerRelease, to *callerConn) {
 	rel.sentAt = n.now
 	n.write(to.id, rel.message)
-	isOldestRead := to.Proven && len(to.unconfirmedReleases) > 0 && n.now-to.unconfirmedReleases[0].sentAt >= releaseResendWindow
+	isOldestRead := to.hadAnswer && len(to.unconfirmedReleases) > 0 && n.now-to.unconfirmedReleases[0].sentAt >= releaseResendWindow
 	if isOldestRead {
 		to.unconfirmedReleases = slices.Clone(to.unconfirmedReleases[1:])
 	}
@@ -119,7 +120,7 @@
 }
 
 // resendReleases sends the releases again that the caller may not have read before its connection ended: those written
-// less than window before, and those that still need a proven connection.
+// less than window before, and those that still need a connection that had an answer.
 func (n *Node) resendReleases(ended *callerConn, window time.Duration) {
 	for _, rel := range ended.unconfirmedReleases {
 		if ended.mayIgnore(&rel) || n.now-rel.sentAt < window {
@@ -133,30 +134,31 @@
 	n.pendingReleases.remove(func(rel callerRelease) bool { return rel.callID == callID })
 }
 
-// markProven records that a call received on a connection was answered or adopted, and sends on it the releases that wait
-// and those that were written only to connections that are not proven.
-func (n *Node) markProven(c *callerConn) {
-	if !c.Proven {
-		c.Proven = true
-		n.takeUnprovenReleases()
+// markAnswered records that a call received on a connection was answered, and sends on it the releases that wait and those that
+// were written only to connections without an answer.
+func (n *Node) markAnswered(c *callerConn) {
+	c.Proven = true
+	if !c.hadAnswer {
+		c.hadAnswer = true
+		n.takeIgnorableReleases()
 	}
 	n.sendPendingReleases(c)
 }
 
-// mayIgnore reports whether the client of the connection may have ignored a release written to it: the connection is neither
-// proven nor the call's own.
-func (c *callerConn) mayIgnore(rel *callerRelease) bool { return !c.Proven && c.id != rel.conn }
+// mayIgnore reports whether the client of the connection may have ignored a release written to it: the connection neither had
+// an answer nor is the call's own.
+func (c *callerConn) mayIgnore(rel *callerRelease) bool { return !c.hadAnswer && c.id != rel.conn }
 
-// takeUnprovenReleases moves the releases that clients may have ignored to those that wait.
-func (n *Node) takeUnprovenReleases() {
-	var unproven []*callerConn
+// takeIgnorableReleases moves the releases that clients may have ignored to those that wait.
+func (n *Node) takeIgnorableReleases() {
+	var unanswered []*callerConn
 	for _, c := range n.callerConns {
-		if !c.Proven && len(c.unconfirmedReleases) > 0 {
-			unproven = append(unproven, c)
+		if !c.hadAnswer && len(c.unconfirmedReleases) > 0 {
+			unanswered = append(unanswered, c)
 		}
 	}
-	slices.SortFunc(unproven, func(a, b *callerConn) int { return cmp.Compare(a.id, b.id) })
-	for _, c := range unproven {
+	slices.SortFunc(unanswered, func(a, b *callerConn) int { return cmp.Compare(a.id, b.id) })
+	for _, c := range unanswered {
 		c.unconfirmedReleases = slices.DeleteFunc(c.unconfirmedReleases, func(rel callerRelease) bool {
 			if c.mayIgnore(&rel) {
 				n.pendingReleases.push(rel)
@@ -168,7 +170,7 @@
 
 // sendPendingReleases sends the releases that wait on a connection, as many as it can take.
 func (n *Node) sendPendingReleases(c *callerConn) {
-	for n.pendingReleases.len() > 0 && (c.Proven || c.hasRoomForRelease()) {
+	for n.pendingReleases.len() > 0 && (c.hadAnswer || c.hasRoomForRelease()) {
 		n.writeRelease(n.pendingReleases.pop(), c)
 	}
 }
--- a/internal/edge/access/callers.go
+++ b/internal/edge/access/callers.go
@@ -15,7 +15,8 @@
 // callerConn is a connection from callers.
 type callerConn struct {
 	admission.Conn
-	id ConnID
+	id        ConnID
+	hadAnswer bool // a call received on it was answered, so its client handles calls
 
 	// unconfirmedReleases were written to the connection, and no caller has confirmed them. See caller_releases.go.
 	unconfirmedReleases []callerRelease
--- a/internal/edge/access/calls.go
+++ b/internal/edge/access/calls.go
@@ -134,7 +134,7 @@
 	if c := n.callerConns[call.conn]; c != nil {
 		c.OpenCalls--
 		c.LastUsed = n.now
-		n.markProven(c)
+		n.markAnswered(c)
 	}
 	n.timerHeap.Stop(&call.timer)
 	call.isStanding, call.standingSince, call.request, call.setUp = true, n.now, nil, nil
@@ -201,7 +201,8 @@
 		return
 	}
 	n.Totals.Adopted++
-	n.markProven(c)
+	c.Proven = true
+	n.sendPendingReleases(c)
 	call.server = srv
 	n.callsByID[call.id], n.callsByNumber[call.number] = call, call
 	srv.standing[call] = struct{}{}
