edge: a set-up is released before its connection to a call server is closed

What was seen: a call stood at two servers. When another server has taken an address, the node closes its connections there and, after the release guard, sends the set-ups that were open on them elsewhere; an answer that crossed the close was never released. Cause: closeTrunk counted these set-ups as reset without a word to the server, which lives on. Change: it writes their releases first. Test: TestCloseReleasesSetUps in two scripts, both failed before (the server got the set-up alone).

--- a/internal/edge/access/fault_scripts_test.go
+++ b/internal/edge/access/fault_scripts_test.go
@@ -58,6 +58,14 @@
 	})
 }
 
+// TestCloseReleasesSetUps guards against a call that stands twice: its server answers the set-up as the node closes the connection
+// because another server has its address, and the node sends the set-up to another server.
+func TestCloseReleasesSetUps(t *testing.T) {
+	runScripts(t, testConfig(), map[string]string{
+		"calls stood there": `a call 2; wait 50ms; a try 1; wait 50ms; list s-2@s-1 up 60ms; s-1 want 1/1/0 12/1/16`,
+		"no calls stood":    `a try 1; wait 50ms; list s-2@s-1 up 1ms; wait 1200ms; s-1 want 1/1/0 12/1/16`})
+}
+
 // TestNamedCalls checks that after a restart of the node an INVITE that names a call server registers a standing call. It gets no
 // answer, and the call ends like any other. If the server has already released the call, or is unknown, the caller gets a BYE.
 func TestNamedCalls(t *testing.T) {
--- a/internal/edge/access/trunks.go
+++ b/internal/edge/access/trunks.go
@@ -27,8 +27,11 @@
 	}
 }
 
-// closeTrunk closes a trunk and abandons the set-ups pending on it.
+// closeTrunk closes a trunk and abandons the set-ups pending on it. They are released first, because an answer may be on its way.
 func (n *Node) closeTrunk(t *trunkConn) {
+	for _, att := range attemptsInCallOrder(t.pending) {
+		n.write(t.id, encodeMessage(trunk.TypeRelease, att.call.id, trunk.CauseNormal))
+	}
 	n.effects = append(n.effects, Effect{Kind: EffectClose, Conn: t.id})
 	n.removeTrunk(t)
 }
