--- a/internal/arch_test.go
+++ b/internal/arch_test.go
@@ -14,7 +14,7 @@
 // purePackages use no sockets, files, loggers or clocks (docs/access-node.md).
 var purePackages = []string{"actor", "node", "pool", "release", "rules", "sip", "sip/transaction", "standin", "timers", "virtual",
 	"config", "tomlfile", "membership", "serverstate", "upperbound", "emulator", "baseline", "day",
-	"edge/access", "edge/admission", "edge/reachability", "edge/caller", "edge/trunk", "edge/feed", "edge/settings",
+	"edge/access", "edge/admission", "edge/reachability", "edge/caller", "edge/trunk", "edge/feed", "edge/settings", "edge/scenario",
 	"snmp/ber", "snmp/usm", "snmp/mib", "snmp/agent", "snmp/notify"}
 
 // TestLayers checks that pure packages import none of the forbidden packages, and that those in allowedImports import,
--- a/internal/edge/standin/recorder.go
+++ b/internal/edge/standin/recorder.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"larkrouter/internal/rules"
-	"larkrouter/internal/sip"
 )
 
 // Recorder collects the capture. It is safe for concurrent use.
@@ -39,13 +38,7 @@
 // recordMessage records a message of a call. at is "caller" or "server"; leg distinguishes the attempts of one
 // call.
 func (r *Recorder) recordMessage(at, dir, self, node, method string, status int, call, leg, number string) {
-	msg := sip.NewRequest(method, "sip:"+number+"@net", "<sip:caller@net>;tag=c", "<sip:"+number+"@net>", call+leg, 1, 70)
-	if status > 0 {
-		msg = sip.NewResponse(msg, status, "", "s")
-	}
-	msg.Add("Via", "SIP/2.0/TCP "+node+";branch=z9hG4bK"+call+leg)
-	msg.Add("Session-ID", call)
-	r.add(rules.Record{Kind: "msg", OwnerKind: at, Direction: dir, Owner: self, Peer: "tcp:" + node, Msg: msg})
+	r.add(rules.Message(at, dir, self, node, method, status, call, leg, number))
 }
 
 // RecordList records a server list sent to a node.
--- a/internal/rules/record.go
+++ b/internal/rules/record.go
@@ -39,6 +39,18 @@
 	Started time.Duration `json:"started_ns,omitempty"` // start of the server on the capture's clock; 0: long ago
 }
 
+// Message returns the record of a message that is not SIP on its wire, as the equivalent SIP message over TCP. ownerKind is "caller"
+// or "server", direction "in" or "out"; a status makes it a response. leg distinguishes the attempts of one call.
+func Message(ownerKind, direction, owner, node, method string, status int, call, leg, number string) Record {
+	msg := sip.NewRequest(method, "sip:"+number+"@net", "<sip:caller@net>;tag=c", "<sip:"+number+"@net>", call+leg, 1, 70)
+	if status > 0 {
+		msg = sip.NewResponse(msg, status, "", "s")
+	}
+	msg.Add("Via", "SIP/2.0/TCP "+node+";branch=z9hG4bK"+call+leg)
+	msg.Add("Session-ID", call)
+	return Record{Kind: "msg", OwnerKind: ownerKind, Direction: direction, Owner: owner, Peer: "tcp:" + node, Msg: msg}
+}
+
 // captureLine is the JSON form of a record.
 type captureLine struct {
 	TimeMicros int64 `json:"t_us"`
