edge: a release that no trusted connection can take goes to one connection after the other

What callers saw: after a restart, until a call was answered, a caller whose connection had closed did not hear of the end of its call in time, while a bad client that names calls was connected. Cause: such a release went to the connection that was used last, the bad client's, and was written again only once some connection got an answer. It was kept with the connection that it was written to, and its own queue had forgotten it. Change: it stays in the queue until a caller confirms it, a connection gets an answer, or it expires. From 0.5 s after the end of the call on it is offered to the connections in order of their age, 8 in each 0.1 s, and 2,000 writes in 0.1 s over all. What was remembered at connections without an answer is gone, and with it two functions. Test: TestReleaseReachesCaller, "several clients without an answered call"; before, the older client got nothing (failed). The other rows pass unchanged.

--- a/internal/edge/access/caller_releases.go
+++ b/internal/edge/access/caller_releases.go
@@ -12,20 +12,23 @@
 	unsentReleaseTimeout   = 10 * time.Minute       // how long a release waits that was never written
 	resentReleaseTimeout   = 30 * time.Second       // how long a release waits that was written before
 	releaseResendWindow    = time.Second            // a release is sent again if the connection that it was written to ends within this time
-	anyConnAfter           = 500 * time.Millisecond // a release that has waited this long goes to any connection from callers
+	anyConnAfter           = 500 * time.Millisecond // a release that has waited this long goes to one connection from callers after another
+	maxOffersAtOnce        = 8                      // connections that a release goes to in one maintenance interval
+	maxOffersPerInterval   = 2000                   // of all releases in one maintenance interval
 )
 
 // callerRelease is a release of a call for its caller. It goes to the connection on which the call was received. If that
-// has ended, it goes to the best other connection from callers: one that had an answer, else one with an open set-up, else,
-// after anyConnAfter, any. A connection without an answer may belong to a client that ignores the release, also if calls were
-// named on it. Therefore a release that was written only to such a connection is sent again on the next one that gets an
-// answer, unless a caller has confirmed it.
+// has ended, it goes to another connection from callers that had an answer. Others may belong to clients that ignore the
+// release, also if calls were named on them. If only such are open, the release goes to one with an open set-up at once and,
+// after anyConnAfter, to one after the other, until a caller has confirmed it or a connection gets an answer.
 type callerRelease struct {
 	callID    uint64
 	message   []byte
 	conn      ConnID        // on which the call was received
 	since     time.Duration // when the call ended
 	sentAt    time.Duration // when it was last written; 0: never
+	sentTo    ConnID        // open connection that it was written to first; 0: none
+	triedUpTo ConnID        // connections up to this one have been tried in order
 	isClaimed bool          // the call is known only from its caller, and may not exist
 }
 
@@ -40,7 +43,7 @@
 
 func (n *Node) writeFirstRelease(call *callState, cause byte, isClaimed bool) {
 	n.Totals.CallerReleases++
-	rel := callerRelease{callID: call.id, message: call.release(cause), conn: call.conn, since: n.now, isClaimed: isClaimed}
+	rel := &callerRelease{callID: call.id, message: call.release(cause), conn: call.conn, since: n.now, isClaimed: isClaimed}
 	if c := n.callerConns[call.conn]; c != nil {
 		n.writeRelease(rel, c)
 		return
@@ -48,21 +51,25 @@
 	n.sendRelease(rel)
 }
 
-// sendRelease sends a release on the best connection that is open. If there is none, the release waits.
-func (n *Node) sendRelease(rel callerRelease) {
-	to := n.lastUsedConn(func(c *callerConn) bool { return c.hadAnswer })
-	if to == nil {
-		to = n.lastUsedConn(func(c *callerConn) bool { return c.OpenCalls > 0 && c.hasRoomForRelease() })
-	}
-	if to != nil {
+// sendRelease sends a release on the connection that was last used of those that had an answer. If there is none, the release waits
+// for one, and goes to a connection with an open set-up meanwhile.
+func (n *Node) sendRelease(rel *callerRelease) {
+	if to := n.lastUsedConn(func(c *callerConn) bool { return c.hadAnswer }); to != nil {
 		n.writeRelease(rel, to)
 		return
 	}
-	if !rel.hasExpired(n.now) {
-		n.pendingReleases.push(rel)
+	if rel.hasExpired(n.now) {
+		return
+	}
+	n.pendingReleases.push(rel)
+	if to := n.lastUsedConn(func(c *callerConn) bool { return c.OpenCalls > 0 }); to != nil {
+		n.offerRelease(rel, to)
 	}
 }
 
+// hasReached reports whether the release was written to a connection that is open.
+func (r *callerRelease) hasReached(conn ConnID) bool { return conn == r.sentTo || conn <= r.triedUpTo }
+
 // hasExpired reports whether the release is not worth sending any more.
 func (r *callerRelease) hasExpired(now time.Duration) bool {
 	if r.sentAt == 0 {
@@ -84,29 +91,35 @@
 	return last
 }
 
-// hasRoomForRelease reports whether one more release that is written to the connection can be remembered.
-func (c *callerConn) hasRoomForRelease() bool {
-	return len(c.unconfirmedReleases) < maxUnconfirmedReleases
+// offerRelease writes a release that waits to a connection whose client may ignore it.
+func (n *Node) offerRelease(rel *callerRelease, to *callerConn) {
+	rel.sentAt, rel.sentTo = n.now, to.id
+	n.write(to.id, rel.message)
 }
 
-// writeRelease writes a release to a connection and remembers it until it is confirmed. On a connection that
-// had an answer, one that was written a while ago has been read.
-func (n *Node) writeRelease(rel callerRelease, to *callerConn) {
-	rel.sentAt = n.now
-	n.write(to.id, rel.message)
-	isOldestRead := to.hadAnswer && len(to.unconfirmedReleases) > 0 && n.now-to.unconfirmedReleases[0].sentAt >= releaseResendWindow
-	if isOldestRead {
-		to.unconfirmedReleases = slices.Clone(to.unconfirmedReleases[1:])
+// writeRelease writes a release to a connection and remembers it until it is confirmed.
+func (n *Node) writeRelease(rel *callerRelease, to *callerConn) {
+	if !rel.hasReached(to.id) {
+		rel.sentAt, rel.sentTo = n.now, to.id
+		n.write(to.id, rel.message)
 	}
-	if to.hasRoomForRelease() || to.forgetRelease(rel.isClaimed) {
-		to.unconfirmedReleases = append(to.unconfirmedReleases, rel)
+	to.rememberRelease(rel, n.now)
+}
+
+// rememberRelease remembers a release that was written to the connection, in case it ends soon.
+func (c *callerConn) rememberRelease(rel *callerRelease, now time.Duration) {
+	if len(c.unconfirmedReleases) > 0 && now-c.unconfirmedReleases[0].sentAt >= releaseResendWindow { // it has been read
+		c.unconfirmedReleases = slices.Clone(c.unconfirmedReleases[1:])
+	}
+	if len(c.unconfirmedReleases) < maxUnconfirmedReleases || c.forgetRelease(rel.isClaimed) {
+		c.unconfirmedReleases = append(c.unconfirmedReleases, rel)
 	}
 }
 
 // forgetRelease makes room for one more release: the oldest of a claimed call gives way, or if there is none, the oldest of all,
 // but not to that of a claimed call. It reports whether there is room.
 func (c *callerConn) forgetRelease(isForClaimed bool) bool {
-	i := slices.IndexFunc(c.unconfirmedReleases, func(rel callerRelease) bool { return rel.isClaimed })
+	i := slices.IndexFunc(c.unconfirmedReleases, func(rel *callerRelease) bool { return rel.isClaimed })
 	if i < 0 && isForClaimed {
 		return false
 	}
@@ -114,79 +127,82 @@
 	return true
 }
 
-// confirmRelease records that the caller has confirmed the release of a call.
-func (c *callerConn) confirmRelease(callID uint64) {
-	c.unconfirmedReleases = slices.DeleteFunc(c.unconfirmedReleases, func(rel callerRelease) bool { return rel.callID == callID })
+// confirmRelease records that a caller has confirmed the release of a call.
+func (n *Node) confirmRelease(c *callerConn, callID uint64) {
+	c.unconfirmedReleases = slices.DeleteFunc(c.unconfirmedReleases, func(rel *callerRelease) bool { return rel.callID == callID })
+	n.pendingReleases.removeCall(callID)
 }
 
 // resendReleases sends the releases again that the caller may not have read before its connection ended: those written
-// less than window before, and those that still need a connection that had an answer.
+// less than window before, and those that wait for a better connection.
 func (n *Node) resendReleases(ended *callerConn, window time.Duration) {
 	for _, rel := range ended.unconfirmedReleases {
-		if ended.mayIgnore(&rel) || n.now-rel.sentAt < window {
+		if n.now-rel.sentAt < window {
+			rel.sentTo = 0
 			n.sendRelease(rel)
 		}
 	}
+	to := n.lastUsedConn(func(c *callerConn) bool { return c.OpenCalls > 0 })
+	n.pendingReleases.each(func(rel *callerRelease) bool {
+		if rel.sentTo == ended.id {
+			rel.sentTo = 0
+			if to != nil && !rel.hasReached(to.id) {
+				n.offerRelease(rel, to)
+			}
+		}
+		return true
+	})
 }
 
-// dropRelease drops a release that waits for a connection, because its caller has released the call itself.
-func (n *Node) dropRelease(callID uint64) {
-	n.pendingReleases.remove(func(rel callerRelease) bool { return rel.callID == callID })
-}
-
-// markAnswered records that a call received on a connection was answered, and sends on it the releases that wait and those that
-// were written only to connections without an answer.
+// markAnswered records that a call received on a connection was answered, and sends on it the releases that wait.
 func (n *Node) markAnswered(c *callerConn) {
-	c.Proven = true
-	if !c.hadAnswer {
-		c.hadAnswer = true
-		n.takeIgnorableReleases()
+	c.Proven, c.hadAnswer = true, true
+	for _, rel := range n.pendingReleases.takeAll() {
+		n.writeRelease(rel, c)
 	}
-	n.sendPendingReleases(c)
 }
 
-// mayIgnore reports whether the client of the connection may have ignored a release written to it: the connection neither had
-// an answer nor is the call's own.
-func (c *callerConn) mayIgnore(rel *callerRelease) bool { return !c.hadAnswer && c.id != rel.conn }
-
-// takeIgnorableReleases moves the releases that clients may have ignored to those that wait.
-func (n *Node) takeIgnorableReleases() {
-	var unanswered []*callerConn
-	for _, c := range n.callerConns {
-		if !c.hadAnswer && len(c.unconfirmedReleases) > 0 {
-			unanswered = append(unanswered, c)
+// offerReleases writes the releases that wait, and that no open connection has got, to a connection on which a call was placed or
+// named.
+func (n *Node) offerReleases(to *callerConn) {
+	n.pendingReleases.each(func(rel *callerRelease) bool {
+		if rel.sentTo == 0 {
+			n.offerRelease(rel, to)
 		}
-	}
-	slices.SortFunc(unanswered, func(a, b *callerConn) int { return cmp.Compare(a.id, b.id) })
-	for _, c := range unanswered {
-		c.unconfirmedReleases = slices.DeleteFunc(c.unconfirmedReleases, func(rel callerRelease) bool {
-			if c.mayIgnore(&rel) {
-				n.pendingReleases.push(rel)
-			}
-			return c.mayIgnore(&rel)
-		})
-	}
-}
-
-// sendPendingReleases sends the releases that wait on a connection, as many as it can take.
-func (n *Node) sendPendingReleases(c *callerConn) {
-	for n.pendingReleases.len() > 0 && (c.hadAnswer || c.hasRoomForRelease()) {
-		n.writeRelease(n.pendingReleases.pop(), c)
-	}
+		return true
+	})
 }
 
-// maintainReleases drops releases that have found no caller in time, and sends those that have waited for long on any
-// connection from callers.
+// maintainReleases drops releases that have found no caller in time, and offers those that have waited for long to the connections
+// from callers, oldest first.
 func (n *Node) maintainReleases() {
 	if n.pendingReleases.len() == 0 {
 		return
 	}
-	n.pendingReleases.remove(func(rel callerRelease) bool { return rel.hasExpired(n.now) })
-	hasWaited := n.pendingReleases.contains(func(rel callerRelease) bool { return n.now-rel.since >= anyConnAfter })
-	if !hasWaited {
-		return
-	}
-	if c := n.lastUsedConn((*callerConn).hasRoomForRelease); c != nil {
-		n.sendPendingReleases(c)
+	n.pendingReleases.remove(func(rel *callerRelease) bool { return rel.hasExpired(n.now) })
+	conns := sortedKeys(n.callerConns)
+	offers := 0
+	n.pendingReleases.each(func(rel *callerRelease) bool {
+		if n.now-rel.since >= anyConnAfter {
+			offers += n.tryConns(rel, conns)
+		}
+		return offers < maxOffersPerInterval
+	})
+}
+
+// tryConns offers a release to the next connections, of all in order of their age. It returns their number.
+func (n *Node) tryConns(rel *callerRelease, conns []ConnID) (offers int) {
+	next, _ := slices.BinarySearch(conns, rel.triedUpTo+1)
+	for _, conn := range conns[next:] {
+		if offers == maxOffersAtOnce {
+			break
+		}
+		if conn != rel.sentTo {
+			n.write(conn, rel.message)
+			rel.sentAt = n.now
+			offers++
+		}
+		rel.sentTo, rel.triedUpTo = cmp.Or(rel.sentTo, conn), conn
 	}
+	return offers
 }
--- a/internal/edge/access/callers.go
+++ b/internal/edge/access/callers.go
@@ -19,7 +19,7 @@
 	hadAnswer bool // a call received on it was answered, so its client handles calls
 
 	// unconfirmedReleases were written to the connection, and no caller has confirmed them. See caller_releases.go.
-	unconfirmedReleases []callerRelease
+	unconfirmedReleases []*callerRelease
 }
 
 // CallerOpened handles a new connection from callers. At the limit another one is evicted for it if possible.
@@ -156,7 +156,7 @@
 	id, err := codec.ParseID(msg.Get("Call-ID"))
 	switch {
 	case !msg.IsRequest():
-		c.confirmRelease(id)
+		n.confirmRelease(c, id)
 	case msg.Method == sip.ACK:
 	case msg.Method == sip.OPTIONS:
 		n.write(conn, codec.Response(msg, 200, 0, nil))
@@ -183,7 +183,7 @@
 			n.cancelCall(call)
 			n.write(conn, codec.Response(msg, 200, 0, nil))
 		case n.hasEnded(id):
-			n.dropRelease(id)
+			n.pendingReleases.removeCall(id)
 			n.write(conn, codec.Response(msg, 200, 0, nil))
 		default:
 			n.Totals.UnknownCalls++
--- a/internal/edge/access/calls.go
+++ b/internal/edge/access/calls.go
@@ -81,7 +81,7 @@
 	n.callsByID[call.id], n.callsByNumber[call.number] = call, call
 	n.openCallCount++
 	c.OpenCalls++
-	n.sendPendingReleases(c)
+	n.offerReleases(c)
 	n.timerHeap.Set(&call.timer, call.deadline, func() { n.expireCall(call) })
 	n.notifyModule(larkrouter.Call{ID: call.number, Class: class, CalledNumber: setUp.Key, TimeLeft: call.deadline - n.now,
 		Destination: setUp.Destination,
@@ -202,7 +202,7 @@
 	}
 	n.Totals.Adopted++
 	c.Proven = true
-	n.sendPendingReleases(c)
+	n.offerReleases(c)
 	call.server = srv
 	n.callsByID[call.id], n.callsByNumber[call.number] = call, call
 	srv.standing[call] = struct{}{}
--- a/internal/edge/access/fault_scripts_test.go
+++ b/internal/edge/access/fault_scripts_test.go
@@ -96,6 +96,8 @@
 		// A client that names calls may have made them up, and ignore the release.
 		"only a client that names calls is there": `a call 1; x name 9; a close; s-1 release 1; wait 1s; b try 2; s-1 answer 2;
 			b want 200/2 BYE/1`,
+		"several clients without an answered call": `a call 1; b name 9; wait 1ms; x name 8; a close; s-1 release 1; wait 900ms; b want BYE/1;
+			x want BYE/1; wait 2s; b ok 1; c call 2; wait 1s; b want; c want`,
 		"connection of a client without calls is closed": callerGone + `b want; s-1 release 1; wait 900ms; b want BYE/1; wait 3s; c try 2;
 			c want BYE/1`,
 		"own connection without an answered call": `s-1 release 9; b name 9; b want BYE/9; c call 1; wait 1s; c want`,
--- a/internal/edge/access/node.go
+++ b/internal/edge/access/node.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
@@ -142,7 +143,8 @@
 	n := &Node{cfg: cfg, module: module, classIndex: map[string]int{}, callsByID: map[uint64]*callState{},
 		callsByNumber: map[uint64]*callState{}, callerConns: map[ConnID]*callerConn{}, servers: map[string]*server{},
 		serversByNumber: map[uint32]*server{}, trunks: map[ConnID]*trunkConn{}, now: now,
-		adopted: newAdoptedCalls(cfg.MaxAdoptedCalls), ended: newEndedCalls(), releasedUnknown: newEndedCalls()}
+		adopted: newAdoptedCalls(cfg.MaxAdoptedCalls), ended: newEndedCalls(), releasedUnknown: newEndedCalls(),
+		pendingReleases: newReleaseQueue()}
 	for i, class := range cfg.Module.Classes {
 		n.classIndex[class.Name] = i
 	}
@@ -326,3 +328,6 @@
 		e.oldestFirst = slices.Clone(e.oldestFirst[expired:])
 	}
 }
+
+// sortedKeys returns the keys of a map in ascending order.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
