edge: scenarios with little traffic after a restart

Change: after every second restart callers place a call each 20 s only, and the next disruption comes 1 to 4 s after the naming.

--- a/cmd/larkrouter/main.go
+++ b/cmd/larkrouter/main.go
@@ -23,7 +23,7 @@
 	Store    storeCmd    `cmd:"" help:"Inspect, verify, compact, back up and restore a store."`
 	Fleet    fleetCmd    `cmd:"" help:"Simulate a day of a whole fleet, in virtual time or on loopback, and check the rules over all nodes."`
 	Lab      labCmd      `cmd:"" help:"Experiments: runs of many days, sweeps, comparisons, searches for bad days, reports."`
-	Scenario scenarioCmd `cmd:"" help:"Play seeded scenarios of the platform's access node in virtual time, and check what callers and call servers see."`
+	Scenario scenarioCmd `cmd:"" help:"Play seeded scenarios of the platform's access node in virtual time and check them."`
 	Reload   reloadCmd   `cmd:"" help:"Make a node reload its configuration; an invalid one changes nothing."`
 	Upgrade  upgradeCmd  `cmd:"" help:"Make a node hand its sockets to a new process of the installed program."`
 	Stop     stopCmd     `cmd:"" help:"Make a node refuse new calls and end once its calls have ended."`
--- a/internal/edge/scenario/callers.go
+++ b/internal/edge/scenario/callers.go
@@ -108,7 +108,7 @@
 	}
 	c.state, c.overSince = callOver, cs.w.now
 	cs.w.standing.ReleasedByCaller(c.id)
-	cs.send(cs.pickConn(), fmt.Sprintf("BYE sip:%s@net SIP/2.0\r\nCall-ID: %016x\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n", calledNumber, c.id))
+	cs.send(cs.pickConn(), formatBye(c.id))
 }
 
 // pickConn returns an open connection or, in one of three cases, a new one.
@@ -263,4 +263,8 @@
 	cs.w.rules.Add(record)
 }
 
+func formatBye(id uint64) string {
+	return fmt.Sprintf("BYE sip:%s@net SIP/2.0\r\nCall-ID: %016x\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n", calledNumber, id)
+}
+
 func formatID(id uint64) string { return fmt.Sprintf("%016x", id) }
--- a/internal/edge/scenario/disruptions.go
+++ b/internal/edge/scenario/disruptions.go
@@ -10,9 +10,10 @@
 const (
 	begin            = 5 * time.Second // before it nothing is disrupted
 	restartAfter     = 15 * time.Second
-	secondAfter      = 24 * time.Second // a disruption that is drawn beside a restart
-	lossTime         = 5 * time.Second  // of a machine
+	maxAfterRestart  = 4 * time.Second // to the next disruption
+	lossTime         = 5 * time.Second // of a machine
 	maxFirstByte     = 9 * time.Second
+	littleTraffic    = 20 * time.Second // mean time between calls
 	downTime         = 150 * time.Millisecond
 	maxNamingTime    = 2 * time.Second
 	minRemovalDelay  = 4 * time.Second // from the death of a process to its removal from the list
@@ -31,8 +32,11 @@
 	hasRestart := w.oneIn(2)
 	at := w.between(begin, restartAfter)
 	if hasRestart {
+		if w.oneIn(2) {
+			plan(at, "little traffic", func() { w.callers.placeEvery = littleTraffic })
+		}
 		plan(at, "restart", w.restartNode)
-		at += stopAcceptTime + maxStopTime + w.between(maxNamingTime/2, secondAfter-restartAfter)
+		at += stopAcceptTime + maxStopTime + w.between(maxNamingTime/2, maxAfterRestart)
 	}
 	if w.oneIn(2) {
 		plan(at, "slow set-ups", w.slowSetUps)
--- a/internal/edge/scenario/intruder.go
+++ b/internal/edge/scenario/intruder.go
@@ -48,8 +48,7 @@
 		fmt.Fprintf(&text, "INVITE sip:%s@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: %016x\r\nCSeq: 1 INVITE\r\nX-Tier: voice\r\n"+
 			"X-Deadline: 3000\r\nX-Attrs: at:%s\r\nContent-Length: 0\r\n\r\n", calledNumber, firstMadeUpID+in.lastID, server)
 		if in.releases {
-			fmt.Fprintf(&text, "BYE sip:%s@net SIP/2.0\r\nCall-ID: %016x\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n", calledNumber,
-				firstMadeUpID+in.lastID)
+			text.WriteString(formatBye(firstMadeUpID + in.lastID))
 		}
 	}
 	in.w.sendText(in.current, text.String())
