edge: of closed connections the one that has named the most calls gives way at the limit

Cause: all closed connections count as one at the limit on named calls, and of all their calls the newest gave way. A caller that names its calls during the flood and closes its connection has the newest ones. Change: closed connections still count as one beside each open one, but among them the one with the most calls loses its newest. A connection's calls are a sorted slice, which shrinks, in place of a tree; closing a connection no longer moves its calls. Test: TestCallBeyondTheLimitIsReleased, "largest of the closed connections" (before, another client's call was released: failed).

--- a/internal/edge/access/adopted.go
+++ b/internal/edge/access/adopted.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"github.com/tidwall/btree"
 )
@@ -13,49 +14,76 @@
 // mentioned them, so they may not exist, and then nothing ever ends them. Their number is therefore limited. At the
 // limit the connection that has named the most calls loses its newest one, so that no connection with less than an
 // equal share of the limit loses a call. All connections that have closed count as one, as otherwise a client would
-// gain a share with every new connection.
+// gain a share with every new connection; among them the one that has named the most calls loses one.
 type adoptedCalls struct {
-	limit  int
-	count  int
-	byConn map[ConnID]*adoptedGroup
-	bySize *btree.BTreeG[*adoptedGroup] // largest first
+	limit       int
+	count       int
+	byConn      map[ConnID]*adoptedGroup
+	open        *btree.BTreeG[*adoptedGroup] // of open connections, largest first
+	closed      *btree.BTreeG[*adoptedGroup] // of closed connections, largest first
+	closedCount int                          // calls of closed connections
 }
 
 // adoptedGroup is the nonempty set of the adopted calls of one connection.
 type adoptedGroup struct {
-	conn  ConnID
-	calls *btree.BTreeG[*callState] // newest first
+	conn     ConnID
+	isClosed bool         // the connection
+	calls    []*callState // oldest first
 }
 
-// closedConns identifies the group of the calls whose connections have closed. No connection has this id.
-const closedConns ConnID = 0
-
 var treeOptions = btree.Options{NoLocks: true} // a single goroutine uses the trees
 
 func newAdoptedCalls(limit int) *adoptedCalls {
 	return &adoptedCalls{limit: cmp.Or(max(limit, 0), defaultMaxAdoptedCalls), byConn: map[ConnID]*adoptedGroup{},
-		bySize: btree.NewBTreeGOptions(isLargerGroup, treeOptions)}
+		open: btree.NewBTreeGOptions(isLargerGroup, treeOptions), closed: btree.NewBTreeGOptions(isLargerGroup, treeOptions)}
 }
 
 func isLargerGroup(a, b *adoptedGroup) bool {
-	if a.calls.Len() != b.calls.Len() {
-		return a.calls.Len() > b.calls.Len()
+	if len(a.calls) != len(b.calls) {
+		return len(a.calls) > len(b.calls)
 	}
 	return a.conn < b.conn
 }
 
-func isNewerCall(a, b *callState) bool { return a.number > b.number }
+// find returns the position of a call in the group, or where it belongs.
+func (g *adoptedGroup) find(call *callState) (position int, isMember bool) {
+	return slices.BinarySearchFunc(g.calls, call, func(a, b *callState) int { return cmp.Compare(a.number, b.number) })
+}
+
+// unlink takes a group out of its order before it changes.
+func (a *adoptedCalls) unlink(group *adoptedGroup) {
+	if group.isClosed {
+		a.closed.Delete(group)
+		a.closedCount -= len(group.calls)
+		return
+	}
+	a.open.Delete(group)
+}
+
+// link puts a group into its order, unless it is empty.
+func (a *adoptedCalls) link(group *adoptedGroup) {
+	switch {
+	case len(group.calls) == 0:
+		delete(a.byConn, group.conn)
+	case group.isClosed:
+		a.closed.Set(group)
+		a.closedCount += len(group.calls)
+	default:
+		a.open.Set(group)
+	}
+}
 
-// add adds a call that was named on the given connection.
+// add adds a call that was named on the given connection, which is open.
 func (a *adoptedCalls) add(call *callState, conn ConnID) {
 	group := a.byConn[conn]
 	if group == nil {
-		group = &adoptedGroup{conn: conn, calls: btree.NewBTreeGOptions(isNewerCall, treeOptions)}
+		group = &adoptedGroup{conn: conn}
 		a.byConn[conn] = group
 	}
-	a.bySize.Delete(group) // its place in the order changes
-	group.calls.Set(call)
-	a.bySize.Set(group)
+	a.unlink(group)
+	position, _ := group.find(call)
+	group.calls = slices.Insert(group.calls, position, call)
+	a.link(group)
 	call.adoptedIn = group
 	a.count++
 }
@@ -66,15 +94,15 @@
 	if group == nil {
 		return
 	}
-	a.bySize.Delete(group)
-	group.calls.Delete(call)
+	a.unlink(group)
+	position, _ := group.find(call)
+	group.calls = slices.Delete(group.calls, position, position+1)
+	if len(group.calls) < cap(group.calls)/2 {
+		group.calls = slices.Clone(group.calls) // many groups that were large once must not keep their memory
+	}
+	a.link(group)
 	call.adoptedIn = nil
 	a.count--
-	if group.calls.Len() == 0 {
-		delete(a.byConn, group.conn)
-		return
-	}
-	a.bySize.Set(group)
 }
 
 // moveTo moves a call to the connection that has named it last. It has no effect on a call that was not adopted.
@@ -86,14 +114,12 @@
 	a.add(call, conn)
 }
 
-// connClosed moves the calls of a connection that has closed to the group of all such calls.
+// connClosed counts the calls of a connection among those of closed ones.
 func (a *adoptedCalls) connClosed(conn ConnID) {
-	group := a.byConn[conn]
-	if group == nil {
-		return
-	}
-	for _, call := range group.calls.Items() {
-		a.moveTo(closedConns, call)
+	if group := a.byConn[conn]; group != nil {
+		a.unlink(group)
+		group.isClosed = true
+		a.link(group)
 	}
 }
 
@@ -102,7 +128,9 @@
 	if a.count <= a.limit {
 		return nil
 	}
-	largest, _ := a.bySize.Min()
-	newest, _ := largest.calls.Min()
-	return newest
+	largest, isOpen := a.open.Min()
+	if !isOpen || a.closedCount >= len(largest.calls) {
+		largest, _ = a.closed.Min()
+	}
+	return largest.calls[len(largest.calls)-1]
 }
--- a/internal/edge/access/adopted_test.go
+++ b/internal/edge/access/adopted_test.go
@@ -64,14 +64,17 @@
 }
 
 // TestCallBeyondTheLimitIsReleased guards against calls that the node drops without telling their caller: the largest connection
-// gets the release of its newest call, and all connections that have closed count as one.
+// gets the release of its newest call, and all connections that have closed count as one, of which the largest pays.
 func TestCallBeyondTheLimitIsReleased(t *testing.T) {
 	cfg := testConfig()
 	cfg.MaxAdoptedCalls = 4
 	runScripts(t, cfg, map[string]string{"limit of 4": `
 		a name 1; a name 2; a name 3; a name 4; a want; a name 5; a want BYE/5; b name 6; b name 7; a want BYE/4 BYE/3;
 		b name 1; b name 2; b want; b close; a name 8; a want BYE/7; a bye 1; a bye 2; a bye 6; a bye 8;
-		a want 200/1 200/2 200/6 200/8`})
+		a want 200/1 200/2 200/6 200/8`,
+		"largest of the closed connections": `
+			x name 1; x name 2; x name 3; x close; b name 4; b close; c name 5; c want BYE/3; c bye 4; c want 200/4; c name 6; c name 7;
+			c want BYE/7`})
 }
 
 // TestReleasesForServerAreKept guards against a call that stands at its server for good, because its caller has released it while no
