edge: the cost of a release that waits does not depend on how many wait

Change: releases that no open connection has got have lists of their own, a connection remembers those it got first, removal is by call, and the lists are compacted once a maintenance interval; at most 500 go to one connection as calls come on it. The load itself was not measured.

--- a/internal/edge/access/caller_releases.go
+++ b/internal/edge/access/caller_releases.go
@@ -1,7 +1,6 @@
 package access
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -30,6 +29,7 @@
 	sentTo    ConnID        // open connection that it was written to first; 0: none
 	triedUpTo ConnID        // connections up to this one have been tried in order
 	isClaimed bool          // the call is known only from its caller, and may not exist
+	isPending bool          // it is in the queue
 }
 
 // forwardRelease notifies a caller that its call server has released its call.
@@ -93,8 +93,12 @@
 
 // offerRelease writes a release that waits to a connection whose client may ignore it.
 func (n *Node) offerRelease(rel *callerRelease, to *callerConn) {
-	rel.sentAt, rel.sentTo = n.now, to.id
 	n.write(to.id, rel.message)
+	rel.sentAt = n.now
+	if rel.sentTo == 0 {
+		rel.sentTo = to.id
+		to.offeredReleases = append(to.offeredReleases, rel)
+	}
 }
 
 // writeRelease writes a release to a connection and remembers it until it is confirmed.
@@ -142,16 +146,14 @@
 			n.sendRelease(rel)
 		}
 	}
-	to := n.lastUsedConn(func(c *callerConn) bool { return c.OpenCalls > 0 })
-	n.pendingReleases.each(func(rel *callerRelease) bool {
-		if rel.sentTo == ended.id {
-			rel.sentTo = 0
-			if to != nil && !rel.hasReached(to.id) {
-				n.offerRelease(rel, to)
-			}
+	for _, rel := range ended.offeredReleases {
+		if rel.isPending && rel.sentTo == ended.id {
+			n.pendingReleases.connClosed(rel)
 		}
-		return true
-	})
+	}
+	if to := n.lastUsedConn(func(c *callerConn) bool { return c.OpenCalls > 0 }); to != nil {
+		n.offerReleases(to)
+	}
 }
 
 // markAnswered records that a call received on a connection was answered, and sends on it the releases that wait.
@@ -162,15 +164,18 @@
 	}
 }
 
-// offerReleases writes the releases that wait, and that no open connection has got, to a connection on which a call was placed or
-// named.
+// offerReleases writes releases that wait, and that no open connection has got, to a connection on which a call was placed or named.
+// Their number is limited, so that a client that opens many connections cannot make the node write all of them on each.
 func (n *Node) offerReleases(to *callerConn) {
-	n.pendingReleases.each(func(rel *callerRelease) bool {
-		if rel.sentTo == 0 {
+	for _, rel := range n.pendingReleases.takeUnreached(maxUnconfirmedReleases - len(to.offeredReleases)) {
+		switch {
+		case !rel.isUnreached(): // it was taken twice
+		case rel.hasReached(to.id):
+			n.pendingReleases.connClosed(rel)
+		default:
 			n.offerRelease(rel, to)
 		}
-		return true
-	})
+	}
 }
 
 // maintainReleases drops releases that have found no caller in time, and offers those that have waited for long to the connections
@@ -179,7 +184,7 @@
 	if n.pendingReleases.len() == 0 {
 		return
 	}
-	n.pendingReleases.remove(func(rel *callerRelease) bool { return rel.hasExpired(n.now) })
+	n.pendingReleases.compact(func(rel *callerRelease) bool { return rel.hasExpired(n.now) })
 	conns := sortedKeys(n.callerConns)
 	offers := 0
 	n.pendingReleases.each(func(rel *callerRelease) bool {
@@ -198,11 +203,10 @@
 			break
 		}
 		if conn != rel.sentTo {
-			n.write(conn, rel.message)
-			rel.sentAt = n.now
+			n.offerRelease(rel, n.callerConns[conn])
 			offers++
 		}
-		rel.sentTo, rel.triedUpTo = cmp.Or(rel.sentTo, conn), conn
+		rel.triedUpTo = conn
 	}
 	return offers
 }
--- a/internal/edge/access/callers.go
+++ b/internal/edge/access/callers.go
@@ -20,6 +20,9 @@
 
 	// unconfirmedReleases were written to the connection, and no caller has confirmed them. See caller_releases.go.
 	unconfirmedReleases []*callerRelease
+
+	// offeredReleases were written to it first, as its client may ignore them, and some still wait.
+	offeredReleases []*callerRelease
 }
 
 // CallerOpened handles a new connection from callers. At the limit another one is evicted for it if possible.
--- a/internal/edge/access/release_queue.go
+++ b/internal/edge/access/release_queue.go
@@ -6,69 +6,110 @@
 const maxPendingCallerReleases = 20000
 
 // releaseQueue holds the releases that no client known to handle calls has got yet. Those of calls that are known only from their
-// callers have a list of their own and go last: a client can make up calls, and must not take the places of others.
+// callers have a list of their own and go last: a client can make up calls, and must not take the places of others. Removed
+// releases stay in the lists until the next call of compact, so that no operation on one release depends on their number.
 type releaseQueue struct {
-	answered []*callerRelease // oldest first
-	claimed  []*callerRelease // oldest first
-	count    map[uint64]int   // releases by call id
+	answered releaseList
+	claimed  releaseList
+	byCall   map[uint64]*callerRelease // the last one of each call
 }
 
-func newReleaseQueue() releaseQueue { return releaseQueue{count: map[uint64]int{}} }
+// releaseList is a list of releases, oldest first.
+type releaseList struct {
+	all       []*callerRelease
+	unreached []*callerRelease // those written to no connection that is open, and some that no longer belong here
+}
 
-// push adds a release. At the limit it is dropped.
-func (q *releaseQueue) push(rel *callerRelease) {
-	list := &q.answered
+func newReleaseQueue() releaseQueue { return releaseQueue{byCall: map[uint64]*callerRelease{}} }
+
+func (q *releaseQueue) len() int { return len(q.byCall) }
+
+func (q *releaseQueue) lists() [2]*releaseList { return [2]*releaseList{&q.answered, &q.claimed} }
+
+func (q *releaseQueue) listOf(rel *callerRelease) *releaseList {
 	if rel.isClaimed {
-		list = &q.claimed
+		return &q.claimed
 	}
-	if len(*list) < maxPendingCallerReleases {
-		*list = append(*list, rel)
-		q.count[rel.callID]++
+	return &q.answered
+}
+
+// push adds a release that was written to no connection that is open. At the limit it is dropped.
+func (q *releaseQueue) push(rel *callerRelease) {
+	list := q.listOf(rel)
+	if len(list.all) >= maxPendingCallerReleases {
+		return
 	}
+	q.removeCall(rel.callID)
+	rel.isPending, rel.sentTo = true, 0
+	q.byCall[rel.callID] = rel
+	list.all = append(list.all, rel)
+	list.unreached = append(list.unreached, rel)
 }
 
-func (q *releaseQueue) len() int { return len(q.answered) + len(q.claimed) }
+// removeCall removes the release of a call.
+func (q *releaseQueue) removeCall(callID uint64) {
+	if rel := q.byCall[callID]; rel != nil {
+		rel.isPending = false
+		delete(q.byCall, callID)
+	}
+}
 
 // each calls f with all releases in the order in which they go, until it returns false.
 func (q *releaseQueue) each(f func(*callerRelease) bool) {
-	for _, list := range [...][]*callerRelease{q.answered, q.claimed} {
-		for _, rel := range list {
-			if !f(rel) {
+	for _, list := range q.lists() {
+		for _, rel := range list.all {
+			if rel.isPending && !f(rel) {
 				return
 			}
 		}
 	}
 }
 
-// removeCall removes the releases of a call.
-func (q *releaseQueue) removeCall(callID uint64) {
-	if q.count[callID] > 0 {
-		q.remove(func(rel *callerRelease) bool { return rel.callID == callID })
+// takeAll removes and returns all releases in the order in which they go.
+func (q *releaseQueue) takeAll() (all []*callerRelease) {
+	q.each(func(rel *callerRelease) bool {
+		all = append(all, rel)
+		return true
+	})
+	for _, rel := range all {
+		rel.isPending = false
 	}
+	*q = newReleaseQueue()
+	return all
 }
 
-// remove removes the releases for which the condition holds.
-func (q *releaseQueue) remove(condition func(*callerRelease) bool) {
-	counted := func(rel *callerRelease) bool {
-		isRemoved := condition(rel)
-		if isRemoved {
-			q.forget(rel)
+// connClosed records that the connection that a release was written to first has closed.
+func (q *releaseQueue) connClosed(rel *callerRelease) {
+	rel.sentTo = 0
+	list := q.listOf(rel)
+	list.unreached = append(list.unreached, rel)
+}
+
+// takeUnreached removes and returns releases that were written to no connection that is open, up to a limit.
+func (q *releaseQueue) takeUnreached(limit int) (taken []*callerRelease) {
+	for _, list := range q.lists() {
+		for len(taken) < limit && len(list.unreached) > 0 {
+			if rel := list.unreached[0]; rel.isUnreached() {
+				taken = append(taken, rel)
+			}
+			list.unreached = list.unreached[1:]
 		}
-		return isRemoved
 	}
-	q.answered = slices.DeleteFunc(q.answered, counted)
-	q.claimed = slices.DeleteFunc(q.claimed, counted)
+	return taken
 }
 
-// takeAll removes and returns all releases in the order in which they go.
-func (q *releaseQueue) takeAll() []*callerRelease {
-	all := slices.Concat(q.answered, q.claimed)
-	*q = newReleaseQueue()
-	return all
-}
+func (r *callerRelease) isUnreached() bool { return r.isPending && r.sentTo == 0 }
 
-func (q *releaseQueue) forget(rel *callerRelease) {
-	if q.count[rel.callID]--; q.count[rel.callID] == 0 {
-		delete(q.count, rel.callID)
+// compact removes the releases for which the condition holds, and frees the memory of removed ones.
+func (q *releaseQueue) compact(isOver func(*callerRelease) bool) {
+	q.each(func(rel *callerRelease) bool {
+		if isOver(rel) {
+			q.removeCall(rel.callID)
+		}
+		return true
+	})
+	for _, list := range q.lists() {
+		list.all = slices.DeleteFunc(list.all, func(rel *callerRelease) bool { return !rel.isPending })
+		list.unreached = slices.DeleteFunc(list.unreached, func(rel *callerRelease) bool { return !rel.isUnreached() })
 	}
 }
