--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -300,7 +300,8 @@
 		return released >= 6 && standing == p.status().Standing
 	})
 	if released+uint64(standing) != 8 {
-		t.Errorf("%d calls are released, and %d stand at the server and at the new process; want 8 together\n%s", released, standing, p.log.String())
+		t.Errorf("%d calls are released, and %d stand at the server and at the new process; want 8 together\n%s", released, standing,
+			p.log.String())
 	}
 	waitFor(t, "calls to be taken again", func() bool { p.dial(1); c, _ := p.counts(); return c.InAim >= 9 })
 	if _, err := p.control("POST", "stop"); err != nil {
