--- a/internal/demo/scenario.go
+++ b/internal/demo/scenario.go
@@ -248,8 +248,9 @@
 			sc.onServer(0, func(s *standin.CallServer, _ time.Duration) { s.SetAnswerLoss(0.2) })
 			sc.onServer(2, func(s *standin.CallServer, _ time.Duration) { s.SetAnswerLoss(0.2) })
 		}},
-		{at(0.68), "responses are no longer lost; server-0 stalls for a second", func() {
-			sc.onServer(0, func(s *standin.CallServer, now time.Duration) { s.SetAnswerLoss(0); s.Stall(now + time.Second) })
+		{at(0.68), "responses are no longer lost; server-1, which has most of the calls, stalls for a second", func() {
+			sc.onServer(0, func(s *standin.CallServer, _ time.Duration) { s.SetAnswerLoss(0) })
+			sc.onServer(1, func(s *standin.CallServer, now time.Duration) { s.Stall(now + time.Second) })
 			sc.onServer(2, func(s *standin.CallServer, _ time.Duration) { s.SetAnswerLoss(0) })
 		}},
 		{at(0.74), "server-2 is killed; the list still shows it as ready", func() { sc.killServer(2) }},
