edge: no work for releases on the call path while none waits, and a case for each guard

What a connection remembers is what was written within the last second, in place of dropping one old release a time.

--- a/internal/edge/access/adopted_test.go
+++ b/internal/edge/access/adopted_test.go
@@ -92,6 +92,8 @@
 	received := s.receivedByServer("s-1")
 	s.expect("the first two releases, and their number", fmt.Sprint(received[0], received[1], len(received) <= 101), "12/1/16 12/2/16 true")
 	s.expect("calls that are counted after the releases", s.node.AdoptedCalls(), "0")
+	s = runScript(t, cfg, begin+flood.String()+`b name 3; b name 4; b want; b bye 3; b bye 4; b want 200/3 200/4`)
+	s.expect("calls that are counted at the limit", s.node.AdoptedCalls(), "100")
 	s = runScript(t, cfg, begin+end+`list s-1@s-1 removed 0; wait 65s`)
 	s.expect("calls that are counted after the removal", s.node.AdoptedCalls(), "0")
 	s = runScript(t, cfg, begin+end+`wait 500ms; list s-1@s-1 up 1ms; s-1 accept; wait 1s; s-1 want`)
--- a/internal/edge/access/caller_releases.go
+++ b/internal/edge/access/caller_releases.go
@@ -1,6 +1,7 @@
 package access
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -110,11 +111,12 @@
 	to.rememberRelease(rel, n.now)
 }
 
-// rememberRelease remembers a release that was written to the connection, in case it ends soon.
+// rememberRelease remembers a release that was written to the connection, in case it ends soon. Those written a while ago have
+// been read.
 func (c *callerConn) rememberRelease(rel *callerRelease, now time.Duration) {
-	if len(c.unconfirmedReleases) > 0 && now-c.unconfirmedReleases[0].sentAt >= releaseResendWindow { // it has been read
-		c.unconfirmedReleases = slices.Clone(c.unconfirmedReleases[1:])
-	}
+	c.unconfirmedReleases = slices.DeleteFunc(c.unconfirmedReleases, func(rel *callerRelease) bool {
+		return now-rel.sentAt >= releaseResendWindow
+	})
 	if len(c.unconfirmedReleases) < maxUnconfirmedReleases || c.forgetRelease(rel.isClaimed) {
 		c.unconfirmedReleases = append(c.unconfirmedReleases, rel)
 	}
@@ -142,14 +144,14 @@
 func (n *Node) resendReleases(ended *callerConn, window time.Duration) {
 	for _, rel := range ended.unconfirmedReleases {
 		if n.now-rel.sentAt < window {
-			rel.sentTo = 0
 			n.sendRelease(rel)
 		}
 	}
 	for _, rel := range ended.offeredReleases {
-		if rel.isPending && rel.sentTo == ended.id {
-			n.pendingReleases.connClosed(rel)
-		}
+		n.pendingReleases.connClosed(rel)
+	}
+	if n.pendingReleases.len() == 0 {
+		return
 	}
 	if to := n.lastUsedConn(func(c *callerConn) bool { return c.OpenCalls > 0 }); to != nil {
 		n.offerReleases(to)
@@ -159,6 +161,9 @@
 // markAnswered records that a call received on a connection was answered, and sends on it the releases that wait.
 func (n *Node) markAnswered(c *callerConn) {
 	c.Proven, c.hadAnswer = true, true
+	if n.pendingReleases.len() == 0 {
+		return
+	}
 	for _, rel := range n.pendingReleases.takeAll() {
 		n.writeRelease(rel, c)
 	}
@@ -167,15 +172,13 @@
 // offerReleases writes releases that wait, and that no open connection has got, to a connection on which a call was placed or named.
 // Their number is limited, so that a client that opens many connections cannot make the node write all of them on each.
 func (n *Node) offerReleases(to *callerConn) {
-	for _, rel := range n.pendingReleases.takeUnreached(maxUnconfirmedReleases - len(to.offeredReleases)) {
-		switch {
-		case !rel.isUnreached(): // it was taken twice
-		case rel.hasReached(to.id):
-			n.pendingReleases.connClosed(rel)
-		default:
-			n.offerRelease(rel, to)
+	n.pendingReleases.takeUnreached(maxUnconfirmedReleases-len(to.offeredReleases), func(rel *callerRelease) bool {
+		if rel.hasReached(to.id) {
+			return false
 		}
-	}
+		n.offerRelease(rel, to)
+		return true
+	})
 }
 
 // maintainReleases drops releases that have found no caller in time, and offers those that have waited for long to the connections
@@ -185,7 +188,7 @@
 		return
 	}
 	n.pendingReleases.compact(func(rel *callerRelease) bool { return rel.hasExpired(n.now) })
-	conns := sortedKeys(n.callerConns)
+	conns := slices.Sorted(maps.Keys(n.callerConns))
 	offers := 0
 	n.pendingReleases.each(func(rel *callerRelease) bool {
 		if n.now-rel.since >= anyConnAfter {
--- a/internal/edge/access/calls.go
+++ b/internal/edge/access/calls.go
@@ -188,14 +188,15 @@
 	call := &callState{number: n.lastCallNumber, id: setUp.ID, callID: newHexText(msg.Get("Call-ID")),
 		calledNumber: newHexText(setUp.Number), conn: c.id, isStanding: true, standingSince: n.now}
 	srv := n.servers[setUp.StandingAt]
-	if ended, hasEnded := n.endedCall(setUp.ID); hasEnded && ended.cause != 0 {
+	ended, hasEnded := n.endedCall(setUp.ID)
+	switch {
+	case ended.cause != 0: // its server has released it
 		n.forwardRelease(call, ended.cause)
 		return
-	} else if hasEnded {
+	case hasEnded:
 		n.releaseAtCaller(call, trunk.CauseReset)
 		return
-	}
-	if srv == nil {
+	case srv == nil:
 		n.Totals.UnknownCalls++
 		n.releaseAtCaller(call, trunk.CauseReset)
 		return
--- a/internal/edge/access/fault_scripts_test.go
+++ b/internal/edge/access/fault_scripts_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 )
 
 // TestRestartEndsCalls guards against calls, above all named ones, that stand for good: their server starts anew before this process has
@@ -104,8 +105,19 @@
 		// It goes to no connection without a call at once, again if it cannot have been read, and not after a confirmation.
 		"read, and confirmed": callerGone + `b options 0; s-1 release 1; b want 200/0; c try 2; c want BYE/1; s-1 answer 2; c want 200/2;
 			d call 3; c close; d want BYE/1; d ok 1; d close; e call 4; e want`,
-		"caller releases the call itself": callerGone + `s-1 release 1; b bye 1; b try 2; wait 900ms; b want 200/1`,
-		"no connection for minutes":       callerGone + `s-1 release 1; wait 5m; b try 2; b want BYE/1`,
+		"caller releases the call itself":   callerGone + `s-1 release 1; b bye 1; b try 2; wait 900ms; b want 200/1`,
+		"no connection for minutes":         callerGone + `s-1 release 1; wait 5m; b try 2; b want BYE/1`,
+		"no connection for too long":        callerGone + `s-1 release 1; wait 11m; b try 2; b want`,
+		"a call is named":                   callerGone + `s-1 release 1; b name 9; b want BYE/1`,
+		"its connection closes later":       `a call 1; b call 2; s-1 release 1; a want BYE/1; wait 2s; a close; b want`,
+		"its own connection closes at once": `s-1 release 9; b name 9; b want BYE/9; b close; c try 2; c want BYE/9`,
+		"tried on all connections": `a call 1; a close; b options 0; wait 1ms; c options 0; s-1 release 1; wait 600ms; b close; c try 2;
+			c want 200/0 BYE/1; d try 3; d want BYE/1`,
+		"the same call twice": `x misname 5; x close; y misname 5; y close; b try 2; b want BYE/5`,
+		"client of the first try closes": callerGone + `b options 0; s-1 release 1; wait 510ms; b want 200/0 BYE/1; b close; c try 2;
+			c want BYE/1`,
+		"client of the first try closes after an answer": callerGone + `b options 0; s-1 release 1; wait 600ms; b want 200/0 BYE/1; c try 2;
+			c want; s-1 answer 2; c want 200/2 BYE/1; b close; d try 3; d want`,
 	})
 }
 
@@ -119,16 +131,104 @@
 		}
 		fmt.Fprintf(&flood, "x%d close;", conn)
 	}
+	var manyReleases strings.Builder
+	for n := range maxUnconfirmedReleases - 1 {
+		fmt.Fprintf(&manyReleases, "a name %d; s-1 release %d;", 100+n, 100+n)
+	}
 	for name, script := range map[string]string{
 		"written and not read":     `a call 1; s-1 release 1;` + flood.String() + `a close; b try 2`,
+		"another is written after": `a call 1; a call 2; s-1 release 2;` + flood.String() + `s-1 release 1; a close; b try 3; b want BYE/2 BYE/1`,
+		"many are written before":  `a call 1; s-1 release 1;` + manyReleases.String() + `x misname 99; x close; a close; b try 2`,
+		"released before the name": `s-1 release 1; a name 1;` + flood.String() + `a close; b try 2`,
 		"waits for a connection":   `a call 1; a close;` + flood.String() + `s-1 release 1; b try 2`,
 		"both, and calls are lost": `a call 1;` + flood.String() + `a close; s-1 reset; s-1 refuse; wait 1400ms; s-1 accept; b try 2`,
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := runScript(t, testConfig(), script)
-			if got := s.receivedCalls(s.callers["b"]); !slices.Contains(got, "BYE/1") {
-				t.Errorf("%d messages to the caller, no BYE for its call", len(got))
+			before, wanted, _ := strings.Cut(script, "b want ")
+			s := runScript(t, testConfig(), before)
+			got := s.receivedCalls(s.callers["b"])
+			for _, want := range strings.Fields("BYE/1 " + wanted) {
+				if !slices.Contains(got, want) {
+					t.Errorf("%d messages to the caller, no %s", len(got), want)
+				}
+			}
+			if len(got) > maxUnconfirmedReleases || len(s.node.pendingReleases.claimed.all) > maxPendingCallerReleases {
+				t.Errorf("%d messages on a new connection, %d releases wait; want at most %d and %d", len(got),
+					len(s.node.pendingReleases.claimed.all), maxUnconfirmedReleases, maxPendingCallerReleases)
 			}
 		})
 	}
 }
+
+// TestOffersAreLimited guards against a burst of releases to connections whose clients may ignore them.
+func TestOffersAreLimited(t *testing.T) {
+	const conns, waiting = 12, maxOffersPerInterval + 100
+	h := newHarness(t, testConfig(), "s-1")
+	for n := range waiting {
+		call := &callState{id: uint64(n + 1), callID: newHexText(formatID(n)), calledNumber: newHexText("7f3a9c21e0b4d655")}
+		h.node.forwardRelease(call, 16)
+	}
+	var callers []ConnID
+	for range conns {
+		callers = append(callers, h.openCaller())
+	}
+	h.advance(anyConnAfter - ms)
+	countMessages := func() (messages, reached int) {
+		for _, conn := range callers {
+			got := len(h.receivedByCaller(conn))
+			messages += got
+			reached += min(got, 1)
+		}
+		return messages, reached
+	}
+	messages, reached := countMessages()
+	h.expect("messages and connections before", []int{messages, reached}, "[0 0]")
+	h.advance(maintenanceInterval)
+	messages, reached = countMessages()
+	h.expect("messages and connections in the first interval", []int{messages, reached}, fmt.Sprint([]int{maxOffersPerInterval, maxOffersAtOnce}))
+	h.advance(14 * maintenanceInterval)
+	messages, reached = countMessages()
+	h.expect("messages and connections afterwards", []int{messages, reached},
+		fmt.Sprint([]int{waiting*conns - maxOffersPerInterval, conns}))
+	h.expect("releases that no connection has got", len(h.node.pendingReleases.answered.unreached), "0")
+}
+
+// TestReleaseMemory guards against releases that are kept although nobody needs them.
+func TestReleaseMemory(t *testing.T) {
+	var c callerConn
+	for n := range uint64(2 * maxUnconfirmedReleases) {
+		c.rememberRelease(&callerRelease{callID: n, sentAt: time.Second}, time.Second)
+	}
+	if len(c.unconfirmedReleases) != maxUnconfirmedReleases {
+		t.Errorf("%d releases are remembered, want %d", len(c.unconfirmedReleases), maxUnconfirmedReleases)
+	}
+	c.rememberRelease(&callerRelease{sentAt: 3 * time.Second}, 3*time.Second)
+	if len(c.unconfirmedReleases) != 1 {
+		t.Errorf("%d releases are remembered after 2 s, want 1", len(c.unconfirmedReleases))
+	}
+	q := newReleaseQueue()
+	first, second := &callerRelease{callID: 1}, &callerRelease{callID: 2}
+	q.push(first)
+	q.push(second)
+	q.removeCall(1)
+	q.connClosed(first)
+	q.takeUnreached(10, func(rel *callerRelease) bool {
+		if rel != second {
+			t.Error("a release that was removed is offered")
+		}
+		return false
+	})
+	if len(q.answered.unreached) != 1 {
+		t.Errorf("%d releases to offer, want 1", len(q.answered.unreached))
+	}
+	q.removeCall(2)
+	if len(q.answered.all)+len(q.answered.unreached) != 0 {
+		t.Errorf("after the last release: %+v, want empty lists", q.answered)
+	}
+	q.push(first)
+	q.takeAll()
+	q.connClosed(first)
+	if len(q.answered.unreached) != 0 {
+		t.Error("a release that was taken is offered again")
+	}
+}
--- a/internal/edge/access/node.go
+++ b/internal/edge/access/node.go
@@ -12,7 +12,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"net/netip"
 	"slices"
@@ -328,6 +327,3 @@
 		e.oldestFirst = slices.Clone(e.oldestFirst[expired:])
 	}
 }
-
-// sortedKeys returns the keys of a map in ascending order.
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- a/internal/edge/access/release_queue.go
+++ b/internal/edge/access/release_queue.go
@@ -48,9 +48,13 @@
 
 // removeCall removes the release of a call.
 func (q *releaseQueue) removeCall(callID uint64) {
-	if rel := q.byCall[callID]; rel != nil {
-		rel.isPending = false
-		delete(q.byCall, callID)
+	rel := q.byCall[callID]
+	if rel == nil {
+		return
+	}
+	rel.isPending = false
+	if delete(q.byCall, callID); len(q.byCall) == 0 {
+		q.answered, q.claimed = releaseList{}, releaseList{}
 	}
 }
 
@@ -78,24 +82,36 @@
 	return all
 }
 
-// connClosed records that the connection that a release was written to first has closed.
+// connClosed records that the connection that a release was written to first has closed. It has no effect on a release that was
+// removed.
 func (q *releaseQueue) connClosed(rel *callerRelease) {
+	if !rel.isPending {
+		return
+	}
 	rel.sentTo = 0
 	list := q.listOf(rel)
 	list.unreached = append(list.unreached, rel)
 }
 
-// takeUnreached removes and returns releases that were written to no connection that is open, up to a limit.
-func (q *releaseQueue) takeUnreached(limit int) (taken []*callerRelease) {
+// takeUnreached calls offer with the releases that were written to no connection that is open, up to a limit on those that it writes.
+// The others stay.
+func (q *releaseQueue) takeUnreached(limit int, offer func(*callerRelease) (isWritten bool)) {
 	for _, list := range q.lists() {
-		for len(taken) < limit && len(list.unreached) > 0 {
-			if rel := list.unreached[0]; rel.isUnreached() {
-				taken = append(taken, rel)
+		for range len(list.unreached) {
+			if limit <= 0 {
+				return
 			}
+			rel := list.unreached[0]
 			list.unreached = list.unreached[1:]
+			switch {
+			case !rel.isUnreached():
+			case offer(rel):
+				limit--
+			default:
+				list.unreached = append(list.unreached, rel)
+			}
 		}
 	}
-	return taken
 }
 
 func (r *callerRelease) isUnreached() bool { return r.isPending && r.sentTo == 0 }
--- a/internal/edge/scenario/scenario.go
+++ b/internal/edge/scenario/scenario.go
@@ -165,7 +165,3 @@
 }
 
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
-
-func sortedByID[K comparable, V any, ID cmp.Ordered](m map[K]V, id func(V) ID) []V {
-	return slices.SortedFunc(maps.Values(m), func(a, b V) int { return cmp.Compare(id(a), id(b)) })
-}
--- a/internal/edge/scenario/world.go
+++ b/internal/edge/scenario/world.go
@@ -183,5 +183,9 @@
 
 // linksInOrder returns the open links, oldest first.
 func (w *world) linksInOrder() []*link {
-	return sortedByID(w.links, func(l *link) access.ConnID { return l.id })
+	links := make([]*link, 0, len(w.links))
+	for _, id := range sortedKeys(w.links) {
+		links = append(links, w.links[id])
+	}
+	return links
 }
