--- a/internal/edge/access/fault_scripts_test.go
+++ b/internal/edge/access/fault_scripts_test.go
@@ -185,7 +185,8 @@
 	h.expect("messages and connections before", []int{messages, reached}, "[0 0]")
 	h.advance(maintenanceInterval)
 	messages, reached = countMessages()
-	h.expect("messages and connections in the first interval", []int{messages, reached}, fmt.Sprint([]int{maxOffersPerInterval, maxOffersAtOnce}))
+	h.expect("messages and connections in the first interval", []int{messages, reached},
+		fmt.Sprint([]int{maxOffersPerInterval, maxOffersAtOnce}))
 	h.advance(14 * maintenanceInterval)
 	messages, reached = countMessages()
 	h.expect("messages and connections afterwards", []int{messages, reached},
--- a/internal/edge/access/node_test.go
+++ b/internal/edge/access/node_test.go
@@ -439,7 +439,8 @@
 	h.advance(70 * time.Second)
 	node := h.node
 	if len(node.callsByID)+len(node.callsByNumber)+len(node.callerConns)+len(node.ended.byID)+len(node.ended.oldestFirst)+
-		len(node.releasedUnknown.byID)+len(node.releasedUnknown.oldestFirst)+node.pendingReleases.len()+len(node.pendingReleases.answered.all)+len(node.pendingReleases.answered.unreached) != 0 ||
+		len(node.releasedUnknown.byID)+len(node.releasedUnknown.oldestFirst)+node.pendingReleases.len()+
+		len(node.pendingReleases.answered.all)+len(node.pendingReleases.answered.unreached) != 0 ||
 		len(node.servers) != 1 || len(node.serversByNumber) != 1 || len(node.serverOrder) != 1 || len(node.trunks) > 2 ||
 		node.timerHeap.Len() > 10 {
 		t.Errorf("left: %d calls, %d callers, %d ended, %d servers, %d trunks, %d timers; want one server, up to 2 trunks, 10 timers",
