--- a/internal/daemon/handover_test.go
+++ b/internal/daemon/handover_test.go
@@ -59,12 +59,12 @@
 		}
 		close(unblock)
 		for i := range entriesPerTry { // the first entry is in the store
-			if err := successor.expectFrame(map[bool]string{true: "go", false: "journal"}[i == 0], time.Minute); err != nil {
+			if err := successor.expectFrame(map[bool]frameKind{true: frameGo, false: frameJournal}[i == 0], time.Minute); err != nil {
 				t.Fatal(err)
 			}
 		}
 		successor.conn.Close()
-		if err := predecessor.expectFrame("ready", time.Minute); err == nil {
+		if err := predecessor.expectFrame(frameReady, time.Minute); err == nil {
 			t.Fatal("the predecessor has read \"ready\" from a successor that has ended")
 		}
 		d.reopenAfterFailure(t.Context())
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -328,10 +328,10 @@
 	}
 	local.Close()
 	predecessor := newHandover(conn)
-	if err := predecessor.expectFrame("prepared", time.Minute); err != nil {
+	if err := predecessor.expectFrame(framePrepared, time.Minute); err != nil {
 		t.Fatal(err)
 	}
-	if err := predecessor.writeFrame(frame{Kind: "go"}); err != nil {
+	if err := predecessor.writeFrame(frame{Kind: frameGo}); err != nil {
 		t.Fatal(err)
 	}
 	predecessor.conn.Close()
--- a/internal/daemon/state_store.go
+++ b/internal/daemon/state_store.go
@@ -246,7 +246,7 @@
 	if err := s.store.Close(); err != nil {
 		s.log.Error("closing the store failed", "cause", err.Error())
 	}
-	successor.enqueue(frame{Kind: "go"})
+	successor.enqueue(frame{Kind: frameGo})
 	s.successor = successor
 }
 
