daemon: a predecessor that is stopped during an upgrade releases its calls itself

What callers saw: an upgrade, then SIGTERM to the old process, which finishes its calls. Cause: the wait for the calls took every signal for the second one of a stop, which ends at once, also where it was the first. Evidence: the log said "stopped immediately by a second signal" after one signal. Change: in an upgrade the first signal releases the calls that are left, as the end of the wait does; a stop is unchanged. Test: TestPredecessorEndsDuringUpgrade, stopped without a store, failed before: six calls stood until its limit of 40 s.

--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -274,15 +274,19 @@
 }
 
 // TestPredecessorEndsDuringUpgrade ends the old process during an upgrade while it has standing calls, by a kill and by a
-// signal to stop: the new process must read the sockets and release the calls that the journal has as standing. It guards
-// against calls that no process has any more and that stay at their call servers.
+// signal to stop: the new process must read the sockets. It guards against calls that no process has any more and that stay at
+// their call servers: a killed process leaves them to the journal of the store, a stopped one releases them itself.
 func TestPredecessorEndsDuringUpgrade(t *testing.T) {
-	t.Run("killed", func(t *testing.T) { testPredecessorEnd(t, syscall.SIGKILL) })
-	t.Run("stopped", func(t *testing.T) { testPredecessorEnd(t, syscall.SIGTERM) })
+	store := func(t *testing.T) string {
+		return fmt.Sprintf("[store]\ndir = %q\n", filepath.Join(t.TempDir(), "store"))
+	}
+	t.Run("killed", func(t *testing.T) { testPredecessorEnd(t, store(t), syscall.SIGKILL) })
+	t.Run("stopped", func(t *testing.T) { testPredecessorEnd(t, store(t), syscall.SIGTERM) })
+	t.Run("stopped without a store", func(t *testing.T) { testPredecessorEnd(t, "", syscall.SIGTERM) })
 }
 
-func testPredecessorEnd(t *testing.T, signal syscall.Signal) {
-	p := newTestProcess(t, fmt.Sprintf("[store]\ndir = %q\n", filepath.Join(t.TempDir(), "store")), time.Hour)
+func testPredecessorEnd(t *testing.T, store string, signal syscall.Signal) {
+	p := newTestProcess(t, store, time.Hour)
 	p.start()
 	p.dial(6)
 	if _, err := p.control("POST", "upgrade"); err != nil {
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -163,7 +163,7 @@
 		defer close(readerDone)
 		d.executeSends(successor)
 	}()
-	clean := drainCalls(loop, d.node, time.Duration(d.file.Load().Calls.MaxStopWait), d.log, d.signals)
+	clean := d.drainCalls(d.signals, nil)
 	select { // time for peers to retransmit requests whose answers were lost
 	case <-time.After(time.Second):
 	case <-readerDone:
