daemon: a signal to reload or upgrade no longer cuts calls that a process finishes

What callers saw: a process that stops, or the old one of an upgrade, gets SIGHUP or SIGUSR2; its standing calls are cut, in a stop without a BYE. Cause: the wait for the calls took any signal for one that asks the process to stop; all four come by one channel. Change: only SIGTERM and SIGINT end that wait, and the second after a release; the others are logged. drainReason says which case it is; the wait has a file of its own.

--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -275,7 +275,8 @@
 
 // TestPredecessorEndsDuringUpgrade ends the old process during an upgrade while it has standing calls, by a kill and by a
 // signal to stop: the new process must read the sockets. It guards against calls that no process has any more and that stay at
-// their call servers: a killed process leaves them to the journal of the store, a stopped one releases them itself.
+// their call servers: a killed process leaves them to the journal of the store, a stopped one releases them itself. A signal that
+// asks for a reload or an upgrade ends no call.
 func TestPredecessorEndsDuringUpgrade(t *testing.T) {
 	store := func(t *testing.T) string {
 		return fmt.Sprintf("[store]\ndir = %q\n", filepath.Join(t.TempDir(), "store"))
@@ -293,12 +294,21 @@
 		t.Fatalf("%v\n%s", err, p.log.String())
 	}
 	p.dial(2)
+	for _, harmless := range []syscall.Signal{syscall.SIGHUP, syscall.SIGUSR2} {
+		if err := p.cmd.Process.Signal(harmless); err != nil {
+			t.Fatal(err)
+		}
+	}
 	time.Sleep(100 * time.Millisecond) // the journal is sent at the end of the turn and written up to 50 ms later
+	released, standing := uint64(0), 0
+	p.serverLoop.PostAndWait(func(time.Duration) { released = p.server.Counts.Released })
+	if released > 0 {
+		t.Errorf("%d calls are released after signals that ask for a reload and an upgrade, want none\n%s", released, p.log.String())
+	}
 	if err := p.cmd.Process.Signal(signal); err != nil {
 		t.Fatal(err)
 	}
 	// The old process may still have read the calls that were placed after the upgrade.
-	released, standing := uint64(0), 0
 	waitFor(t, "the six calls to be released", func() bool {
 		p.serverLoop.PostAndWait(func(time.Duration) { released, standing = p.server.Counts.Released, p.server.StandingCalls() })
 		return released >= 6 && standing == p.status().Standing
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -174,7 +174,7 @@
 			reply(nil)
 			notifyManager("STOPPING=1")
 			d.loop.PostAndWait(d.node.Drain)
-			return d.drainCalls(nil, d.signals), nil
+			return d.drainCalls(drainForStop), nil
 		}
 	}
 }
@@ -205,47 +205,6 @@
 	}
 }
 
-// drainCalls waits until all calls have ended, then ends the list subscription. After the configured wait, or on a signal on
-// releaseNow, it releases the calls that are left. A signal on stopNow ends it at once. It reports whether all calls ended by themselves.
-func (d *Daemon) drainCalls(releaseNow, stopNow <-chan os.Signal) bool {
-	tick := time.NewTicker(50 * time.Millisecond)
-	defer tick.Stop()
-	deadline := time.After(time.Duration(d.file.Load().Calls.MaxStopWait))
-	for {
-		waiting, standing := 0, 0
-		d.loop.PostAndWait(func(time.Duration) { waiting, standing = d.node.OpenCalls() })
-		if waiting+standing == 0 {
-			d.loop.PostAndWait(d.node.EndAllCalls) // ends the subscription
-			time.Sleep(20 * time.Millisecond)      // time for the SUBSCRIBE that ends it to be sent
-			d.log.Info("stopped", "clean", true)
-			return true
-		}
-		select {
-		case <-stopNow:
-			d.log.Warn("stopped immediately by a second signal", "unanswered", waiting, "standing", standing)
-			return false
-		case <-releaseNow:
-			d.releaseCalls(waiting, standing)
-			return false
-		case <-deadline:
-			d.releaseCalls(waiting, standing)
-			return false
-		case <-tick.C:
-		}
-	}
-}
-
-// releaseCalls ends the calls that are left and gives their parties time to answer. A signal ends the wait.
-func (d *Daemon) releaseCalls(waiting, standing int) {
-	d.log.Warn("releasing the remaining calls", "unanswered", waiting, "standing", standing)
-	d.loop.PostAndWait(d.node.EndAllCalls)
-	select { // time for the BYEs to be answered
-	case <-time.After(time.Second):
-	case <-d.signals:
-	}
-	d.log.Info("stopped", "clean", false)
-}
-
 // watchPoolFile reads the pool file at the configured interval and passes the list to the node whenever the content has changed.
 // It replaces an earlier watch.
 func (d *Daemon) watchPoolFile(ctx context.Context, cfg config.Pool) {
--- a/internal/daemon/serve_test.go
+++ b/internal/daemon/serve_test.go
@@ -183,6 +183,7 @@
 	n.awaitCounts(t, func(c standin.ClassCounts) bool { return c.InAim == 10 })
 	n.signals <- syscall.SIGTERM
 	n.awaitLog(t, "stopping")
+	n.signals <- syscall.SIGHUP
 	select {
 	case clean := <-n.clean:
 		if !clean {
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -163,7 +163,7 @@
 		defer close(readerDone)
 		d.executeSends(successor)
 	}()
-	clean := d.drainCalls(d.signals, nil)
+	clean := d.drainCalls(drainForUpgrade)
 	select { // time for peers to retransmit requests whose answers were lost
 	case <-time.After(time.Second):
 	case <-readerDone:
