daemon: a signal to stop before the successor is ready is forced in a test

Need: the order was tried with delays only, no test of it stood. Change: the successor gets no list of servers until the predecessor has its signal.

--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -323,6 +323,42 @@
 	}
 }
 
+// TestPredecessorStoppedBeforeReady guards against calls that stay at their call servers, and against an upgrade that leaves no
+// process serving: the signal to stop comes while the predecessor waits for its successor, which has no list of servers yet.
+func TestPredecessorStoppedBeforeReady(t *testing.T) {
+	p := newTestProcess(t, "", time.Hour)
+	p.start()
+	p.dial(6)
+	poolFile := filepath.Join(p.dir, "pool.toml")
+	head, rest, _ := strings.Cut(p.text, "[[server]]")
+	server, classes, _ := strings.Cut(rest, "[[class]]")
+	p.write(fmt.Sprintf("%s[pool]\nfile = %q\n[[class]]%s", head, poolFile, classes))
+	upgraded := make(chan error, 1)
+	go func() {
+		_, err := p.control("POST", "upgrade")
+		upgraded <- err
+	}()
+	waitFor(t, "the successor to wait for a list", func() bool { return strings.Contains(p.log.String(), "reading the pool file failed") })
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if strings.Contains(p.log.String(), "handed over") {
+		t.Error("the successor was ready before the signal")
+	}
+	if err := os.WriteFile(poolFile, []byte("[[server]]"+server), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-upgraded; err != nil {
+		t.Errorf("the upgrade failed: %v", err)
+	}
+	waitFor(t, "the six calls to be released", func() bool {
+		released := uint64(0)
+		p.serverLoop.PostAndWait(func(time.Duration) { released = p.server.Counts.Released })
+		return released == 6
+	})
+	waitFor(t, "calls to be taken again", func() bool { p.dial(1); c, _ := p.counts(); return c.InAim >= 7 })
+}
+
 // TestPredecessorGoneBeforeReady guards against an upgrade that leaves no process serving: the predecessor has closed its
 // store and ends before the successor is ready. The successor must serve alone.
 func TestPredecessorGoneBeforeReady(t *testing.T) {
