daemon: the test of a second signal fails if the calls are released first

Need: with the end at once taken out of the wait the test passed, as a release of the calls ends within its 60 s too. Change: it also wants no call released and no such log line.

--- a/internal/daemon/serve_test.go
+++ b/internal/daemon/serve_test.go
@@ -240,6 +240,9 @@
 	case <-time.After(60 * time.Second):
 		t.Fatal("the node did not end within 60 s")
 	}
+	if c := n.awaitCounts(t, func(standin.ClassCounts) bool { return true }); c.Cut != 0 || strings.Contains(n.log.String(), "releasing") {
+		t.Errorf("callers counted %+v, want no call that is released at the second signal:\n%s", c, n.log.String())
+	}
 }
 
 // TestPoolFileReload checks that a changed pool file is applied, and that a faulty one is rejected and logged.
