edge: logs and counters for calls of replaced servers, closed connections, refusals and releases

No line names a call, a move of a call to another server is silent, and one counter stands for every reason why a connection was closed or a set-up refused.

Change: log events 'calls of a replaced server', 'call moved' (with the ages of the answer and of its connection) and 'release expired'; call ids in hexadecimal as on the wire; counters for moved calls, duplicate ids, set-ups over a limit, set-ups sent again, expired releases, and connections closed by reason; 'releases_waiting' in the record of each second.

--- a/internal/edge/access/attempts.go
+++ b/internal/edge/access/attempts.go
@@ -100,6 +100,9 @@
 		return
 	}
 	srv.counts.Sent++
+	if att.ordinal > 0 {
+		n.Totals.SentAgain++
+	}
 	att.trunk, t.pending[call.id], t.lastUsed = t, att, n.now
 	n.timerHeap.Set(&att.timer, att.expires, func() { n.abandonAttempt(att, larkrouter.TimedOut) })
 	n.write(t.id, data)
--- a/internal/edge/access/caller_releases.go
+++ b/internal/edge/access/caller_releases.go
@@ -1,6 +1,8 @@
 package access
 
 import (
+	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -68,6 +70,9 @@
 	}
 }
 
+// WaitingReleases returns the number of releases that no client known to handle calls has got yet.
+func (n *Node) WaitingReleases() int { return n.pendingReleases.len() }
+
 // hasReached reports whether the release was written to a connection that is open.
 func (r *callerRelease) hasReached(conn ConnID) bool { return conn == r.sentTo || conn <= r.triedUpTo }
 
@@ -169,6 +174,11 @@
 	}
 }
 
+// sinceWritten returns how long ago a release was written, or since when it waits if it never was.
+func (n *Node) sinceWritten(rel *callerRelease) time.Duration {
+	return n.now - cmp.Or(rel.sentAt, rel.since)
+}
+
 // offerReleases writes releases that wait, and that no open connection has got, to a connection on which a call was placed or named.
 // Their number is limited, so that a client that opens many connections cannot make the node write all of them on each.
 func (n *Node) offerReleases(to *callerConn) {
@@ -187,7 +197,14 @@
 	if n.pendingReleases.len() == 0 {
 		return
 	}
-	n.pendingReleases.compact(func(rel *callerRelease) bool { return rel.hasExpired(n.now) })
+	n.pendingReleases.compact(func(rel *callerRelease) bool {
+		if !rel.hasExpired(n.now) {
+			return false
+		}
+		n.Totals.ReleasesExpired++
+		n.log(LogEntry{Event: "release expired", Call: rel.callID, Cause: fmt.Sprintf("no client known to handle calls came within %v", n.sinceWritten(rel))})
+		return true
+	})
 	conns := slices.Sorted(maps.Keys(n.callerConns))
 	offers := 0
 	n.pendingReleases.each(func(rel *callerRelease) bool {
--- a/internal/edge/access/callers.go
+++ b/internal/edge/access/callers.go
@@ -145,6 +145,7 @@
 			n.refuseCall(call, 503, 0)
 		}
 	}
+	n.Totals.ConnsUnparsable++
 	n.closeCaller(c)
 }
 
@@ -209,9 +210,12 @@
 	n.maintainReleases()
 	var expired []*callerConn
 	for _, c := range n.callerConns {
-		if c.ShouldClose(n.now) {
-			expired = append(expired, c)
+		reason := c.CloseReason(n.now)
+		if reason == admission.NoCloseReason {
+			continue
 		}
+		n.Totals.countClosed(reason)
+		expired = append(expired, c)
 	}
 	slices.SortFunc(expired, func(a, b *callerConn) int { return cmp.Compare(a.id, b.id) })
 	for _, c := range expired {
--- a/internal/edge/access/calls.go
+++ b/internal/edge/access/calls.go
@@ -27,6 +27,7 @@
 	standingSince   time.Duration // when it was answered
 	server          *server       // server of the standing call
 	trunk           ConnID        // trunk on which its set-up was sent
+	trunkOpenedAt   time.Duration // when that trunk opened
 	standingAttempt int           // ordinal of the attempt that was answered
 	adoptedIn       *adoptedGroup // nil unless the node knows the call only because its caller has named it
 	setUp           *codec.SetUp  // parsed INVITE; nil once the call stands
@@ -65,6 +66,9 @@
 		status := 503
 		if isDuplicate || hasEnded { // every set-up must have an id of its own
 			status = 482
+			n.Totals.DuplicateIDs++
+		} else {
+			n.Totals.OverOpenLimit++
 		}
 		n.Totals.Malformed++
 		n.write(c.id, codec.Response(msg, status, n.cfg.Edge.MaxRetryAfter, nil))
--- a/internal/edge/access/node.go
+++ b/internal/edge/access/node.go
@@ -107,26 +107,6 @@
 	Totals           Totals
 }
 
-// Totals are counters since the node started. Their JSON names are the keys of the node's status log record.
-type Totals struct {
-	Calls                uint64 // set-ups accepted
-	Malformed            uint64 // requests rejected as malformed
-	Answered             uint64 // calls answered by a server
-	Refused              uint64 // set-ups refused with 503
-	Failed               uint64 // set-ups refused with another status
-	Cancelled            uint64 `json:"Withdrawn"` // set-ups cancelled by the caller
-	Overdue              uint64 // set-ups whose deadline passed before the module abandoned them
-	Adopted              uint64 // standing calls registered by their callers
-	AdoptedOverLimit     uint64 // standing calls given up because callers named more than the node holds
-	UnknownCalls         uint64 `json:"Unknown"`       // messages about calls or servers that the node does not know
-	LateReplies          uint64 `json:"Late"`          // messages about abandoned or unknown set-ups
-	CallsLost            uint64 `json:"Cut"`           // standing calls lost with their server
-	CallerReleases       uint64 `json:"Farewells"`     // releases for callers
-	CallerHungUp         uint64 `json:"Dropped"`       // set-ups whose caller closed its connection
-	CallerConnsClosed    uint64 `json:"CallersClosed"` // caller connections closed by the node
-	CallerConnsOverLimit uint64 `json:"CallersFull"`   // caller connections opened at the limit
-}
-
 // maintenanceInterval is how often the work that no message triggers is done.
 const maintenanceInterval = 100 * time.Millisecond
 
@@ -273,57 +253,3 @@
 	slices.SortFunc(open, func(a, b *callState) int { return cmp.Compare(a.number, b.number) })
 	return open
 }
-
-// endedCall returns what is known of a call that has ended recently.
-func (n *Node) endedCall(id uint64) (ended endedCall, hasEnded bool) {
-	if ended, hasEnded = n.releasedUnknown.byID[id]; hasEnded {
-		return ended, true
-	}
-	ended, hasEnded = n.ended.byID[id]
-	return ended, hasEnded
-}
-
-// endedCalls remembers recently ended calls, because messages about them may still be on their way. What callers end and
-// what call servers release unasked is remembered apart, so that no client can displace a server's release.
-type endedCalls struct {
-	byID        map[uint64]endedCall
-	oldestFirst []uint64 // ids in the order in which the calls ended
-}
-
-type endedCall struct {
-	endedAt time.Duration
-	cause   byte // release cause of a call that this process did not know; 0: the call ended here
-}
-
-const (
-	endedRetention = 10 * time.Second
-	maxEndedCalls  = 20000
-)
-
-func (n *Node) hasEnded(id uint64) bool {
-	_, hasEnded := n.endedCall(id)
-	return hasEnded
-}
-
-func newEndedCalls() endedCalls { return endedCalls{byID: map[uint64]endedCall{}} }
-
-func (e *endedCalls) add(id uint64, ended endedCall) {
-	if _, ok := e.byID[id]; !ok {
-		e.oldestFirst = append(e.oldestFirst, id)
-	}
-	e.byID[id] = ended
-	if len(e.oldestFirst) > maxEndedCalls {
-		delete(e.byID, e.oldestFirst[0])
-		e.oldestFirst = e.oldestFirst[1:]
-	}
-}
-
-func (e *endedCalls) removeExpired(now time.Duration) {
-	expired := 0
-	for ; expired < len(e.oldestFirst) && now-e.byID[e.oldestFirst[expired]].endedAt > endedRetention; expired++ {
-		delete(e.byID, e.oldestFirst[expired])
-	}
-	if expired > 0 {
-		e.oldestFirst = slices.Clone(e.oldestFirst[expired:])
-	}
-}
--- a/internal/edge/access/server_list.go
+++ b/internal/edge/access/server_list.go
@@ -1,6 +1,7 @@
 package access
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -140,17 +141,27 @@
 // endCallsOfReplaced ends the calls of a server that is gone and whose address a successor has. Calls set up there after the
 // successor's start stand at the successor. A call that its caller has named there stood at the old process.
 func (n *Node) endCallsOfReplaced(srv, successor *server) {
+	n.log(LogEntry{Event: "calls of a replaced server", Server: srv.id, Count: len(srv.standing),
+		Cause: fmt.Sprintf("%s has its address, started %v ago", successor.id, n.now-successor.info.Started)})
 	for _, call := range srv.standing.inOrder() {
 		if call.adoptedIn == nil && successor.info.Started > 0 && call.standingSince >= successor.info.Started {
-			delete(srv.standing, call)
-			call.server = successor
-			successor.standing[call] = struct{}{}
+			n.moveCall(call, successor)
 		}
 	}
 	n.closeTrunks(srv, "another server has its address")
 	n.endLostCalls(srv, "another server has its address", false)
 }
 
+// moveCall assigns a standing call to the server at whose process it stands.
+func (n *Node) moveCall(call *callState, to *server) {
+	n.Totals.CallsMoved++
+	n.log(LogEntry{Event: "call moved", Server: to.id, Call: call.id, Cause: fmt.Sprintf("answered %v before its start, on a connection opened %v before",
+		to.info.Started-call.standingSince, to.info.Started-call.trunkOpenedAt)})
+	delete(call.server.standing, call)
+	call.server = to
+	to.standing[call] = struct{}{}
+}
+
 // endCallsBeforeStart ends the calls that stood before the server's last start: they ended with its previous process.
 func (n *Node) endCallsBeforeStart(srv *server) {
 	for _, call := range srv.awaitingRelease.inOrder() {
--- a/internal/edge/access/trunks.go
+++ b/internal/edge/access/trunks.go
@@ -14,6 +14,7 @@
 	id        ConnID
 	server    *server
 	isOpen    bool
+	openedAt  time.Duration
 	lastUsed  time.Duration       // when it opened, or when a message was last read or written
 	pending   map[uint64]*attempt // set-ups that await an answer, by the caller's id of the call
 	abandoned map[uint64]struct{} // set-ups abandoned on it, by the caller's id: answers that still arrive for them are late
@@ -66,7 +67,7 @@
 	if t == nil {
 		return
 	}
-	t.isOpen, t.lastUsed = true, n.now
+	t.isOpen, t.openedAt, t.lastUsed = true, n.now, n.now
 	srv := t.server
 	srv.reachability.ConnOpened(n.now)
 	for _, call := range srv.awaitingRelease.inOrder() {
@@ -174,7 +175,7 @@
 	}
 	n.detachAttempt(att)
 	t.server.counts.Answered++
-	call.server, call.trunk, call.standingAttempt = t.server, t.id, att.ordinal
+	call.server, call.trunk, call.trunkOpenedAt, call.standingAttempt = t.server, t.id, t.openedAt, att.ordinal
 	t.server.standing[call] = struct{}{}
 	n.answerCall(call, description)
 	n.notifyModule(larkrouter.Standing{Call: call.number, Server: t.server.number, Elapsed: n.now - att.startedAt, Attempt: att.ordinal})
--- a/internal/edge/admission/admission.go
+++ b/internal/edge/admission/admission.go
@@ -31,10 +31,30 @@
 	Proven             bool          // a call received on it was answered, or a standing call was adopted on it
 }
 
-// ShouldClose reports whether the connection has exceeded one of its timeouts.
-func (c *Conn) ShouldClose(now time.Duration) bool {
-	return c.OpenCalls == 0 && (c.PartialSince > 0 && now-c.PartialSince >= partialTimeout ||
-		!c.Proven && now-c.OpenedAt >= unprovenTimeout || now-c.LastUsed >= idleTimeout)
+// CloseReason is the timeout that a connection has exceeded.
+type CloseReason uint8
+
+// Close reasons.
+const (
+	NoCloseReason     CloseReason = iota
+	IncompleteMessage             // a message has started and does not complete
+	NoAnsweredCall                // no call on it was answered
+	Idle
+)
+
+// CloseReason returns the timeout that the connection has exceeded, or NoCloseReason.
+func (c *Conn) CloseReason(now time.Duration) CloseReason {
+	switch {
+	case c.OpenCalls > 0:
+		return NoCloseReason
+	case c.PartialSince > 0 && now-c.PartialSince >= partialTimeout:
+		return IncompleteMessage
+	case !c.Proven && now-c.OpenedAt >= unprovenTimeout:
+		return NoAnsweredCall
+	case now-c.LastUsed >= idleTimeout:
+		return Idle
+	}
+	return NoCloseReason
 }
 
 // CanOpenCall reports whether one more set-up may be open on the connection.
--- a/internal/edge/admission/admission_test.go
+++ b/internal/edge/admission/admission_test.go
@@ -9,19 +9,19 @@
 func TestCloseAndEviction(t *testing.T) {
 	const s = time.Second
 	for name, tc := range map[string]struct {
-		conn      Conn
-		at        time.Duration
-		wantClose bool
+		conn Conn
+		at   time.Duration
+		want CloseReason
 	}{
-		"silent, young":        {Conn{OpenedAt: s, LastUsed: s}, 3 * s, false},
-		"silent":               {Conn{OpenedAt: s, LastUsed: s}, 3*s + s/2, true},
-		"busy":                 {Conn{OpenedAt: s, LastUsed: s, PartialSince: s, OpenCalls: 1}, 60 * s, false},
-		"proven, briefly idle": {Conn{OpenedAt: s, LastUsed: s, Proven: true}, 8 * s, false},
-		"proven, idle":         {Conn{OpenedAt: s, LastUsed: s, Proven: true}, 9 * s, true},
-		"incomplete message":   {Conn{OpenedAt: s, LastUsed: 9 * s, PartialSince: 8 * s, Proven: true}, 10 * s, true},
+		"silent, young":        {Conn{OpenedAt: s, LastUsed: s}, 3 * s, NoCloseReason},
+		"silent":               {Conn{OpenedAt: s, LastUsed: s}, 3*s + s/2, NoAnsweredCall},
+		"busy":                 {Conn{OpenedAt: s, LastUsed: s, PartialSince: s, OpenCalls: 1}, 60 * s, NoCloseReason},
+		"proven, briefly idle": {Conn{OpenedAt: s, LastUsed: s, Proven: true}, 8 * s, NoCloseReason},
+		"proven, idle":         {Conn{OpenedAt: s, LastUsed: s, Proven: true}, 9 * s, Idle},
+		"incomplete message":   {Conn{OpenedAt: s, LastUsed: 9 * s, PartialSince: 8 * s, Proven: true}, 10 * s, IncompleteMessage},
 	} {
-		if tc.conn.ShouldClose(tc.at) != tc.wantClose {
-			t.Errorf("%s: ShouldClose is %v", name, !tc.wantClose)
+		if got := tc.conn.CloseReason(tc.at); got != tc.want {
+			t.Errorf("%s: close reason %d, want %d", name, got, tc.want)
 		}
 	}
 	proven, fresh, old := &Conn{Proven: true, LastUsed: s}, &Conn{LastUsed: 3 * s}, &Conn{LastUsed: 2 * s}
--- a/internal/edge/report.go
+++ b/internal/edge/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math"
 	"runtime"
@@ -30,7 +31,7 @@
 		attrs = append(attrs, slog.String("server", entry.Server))
 	}
 	if entry.Call != 0 {
-		attrs = append(attrs, slog.Uint64("call", entry.Call))
+		attrs = append(attrs, slog.String("call", fmt.Sprintf("%016x", entry.Call)))
 	}
 	if entry.Cause != "" {
 		attrs = append(attrs, slog.String("cause", entry.Cause))
@@ -47,6 +48,7 @@
 	runtime.ReadMemStats(&mem)
 	attrs := []slog.Attr{
 		slog.Any("totals", el.node.Totals), slog.Int("open", el.node.OpenCalls()), slog.Int("adopted", el.node.AdoptedCalls()),
+		slog.Int("releases_waiting", el.node.WaitingReleases()),
 		slog.Int("callers", el.node.CallerConns()),
 		slog.Int64("sockets", el.socketCount.Load()), slog.Int("turns", el.stats.turns), slog.Float64("busy_ms", ms(el.stats.busyTime)),
 		slog.Float64("longest_ms", ms(el.stats.longestTurn)), slog.Uint64("heap_kb", mem.HeapAlloc>>10), slog.Uint64("sys_kb", mem.Sys>>10),
