--- a/internal/edge/standin/callers.go
+++ b/internal/edge/standin/callers.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -174,6 +176,13 @@
 	return overdue, len(cs.standing)
 }
 
+// StandingCalls returns the ids of the calls that stand from the callers' point of view, in order.
+func (cs *Callers) StandingCalls() []uint64 {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return slices.Sorted(maps.Keys(cs.standing))
+}
+
 // Counts returns the outcomes so far.
 func (cs *Callers) Counts() Counts {
 	cs.mu.Lock()
--- a/internal/edge/standin/feed.go
+++ b/internal/edge/standin/feed.go
@@ -53,10 +53,15 @@
 // Close stops the channel and closes its connections.
 func (f *Feed) Close() { f.listener.Close(); f.BreakConnections(false) }
 
-// Member returns a server entry of a list event in JSON.
+// Member returns a server entry of a list event in JSON. The server has been up for long.
 func Member(id, addr string, cell int, phase string) string {
-	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"z","flavor":"k","cell":%d,"phase":%q,"size":1,"up_since_ms":0}`,
-		id, addr, cell, phase)
+	return StartedMember(id, addr, cell, phase, 0)
+}
+
+// StartedMember returns a server entry of a list event in JSON, with the start of the server in Unix milliseconds.
+func StartedMember(id, addr string, cell int, phase string, startedUnixMilli int64) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"z","flavor":"k","cell":%d,"phase":%q,"size":1,"up_since_ms":%d}`,
+		id, addr, cell, phase, startedUnixMilli)
 }
 
 // Publish adds an event and returns its data, which may also be used as a known event of a configuration.
