edge: the connection of a call tells which of two processes at an address it stands at

Cause: when the list names a new process at an address, the node compared the time of each answer with the start in the list. That start is a time of another clock and need not be the moment of the death: answers cross it, both ways. Such a call moved to the new server and waited for that one's end, 8.3 s later in the records. The same comparison decided over calls of a server that restarts under its id, over releases that wait for a connection, and over calls that callers name.

Change: one process accepts a connection, and its death ends it. A call continues only if the connection it was answered on is open, also as the kernel sees it, and belongs to the new process by the time it opened or by bytes after the start. If the connection has ended, the call is over for its caller; if it was opened close to the listed start, the new process gets a release too, so that no call is left at one end. The same rule holds for a restart under the same id, kept releases and named calls. Connections of the old process are closed.

Taking out the check of the kernel's state fails TestReplacedProcessResetUnread.

--- a/internal/edge/access/attempts.go
+++ b/internal/edge/access/attempts.go
@@ -83,7 +83,7 @@
 func (n *Node) sendSetUp(att *attempt, t *trunkConn) {
 	call, srv := att.call, att.server
 	// The end of the caller's connection may not be processed yet: it waits behind unread bytes or a busy loop.
-	if n.cfg.HasCallerClosed != nil && n.cfg.HasCallerClosed(call.conn) {
+	if n.hasPeerClosed(call.conn) {
 		n.Totals.CallerHungUp++
 		n.cancelCall(call)
 		return
--- a/internal/edge/access/calls.go
+++ b/internal/edge/access/calls.go
@@ -26,7 +26,7 @@
 	isStanding      bool
 	standingSince   time.Duration // when it was answered
 	server          *server       // server of the standing call
-	trunk           ConnID        // trunk on which its set-up was sent
+	trunk           ConnID        // trunk on which its set-up was sent, or one that was open when the call was named
 	trunkOpenedAt   time.Duration // when that trunk opened
 	standingAttempt int           // ordinal of the attempt that was answered
 	adoptedIn       *adoptedGroup // nil unless the node knows the call only because its caller has named it
@@ -209,6 +209,9 @@
 	c.Proven = true
 	n.offerReleases(c)
 	call.server = srv
+	if t := srv.openTrunk(); t != nil {
+		call.trunk, call.trunkOpenedAt = t.id, t.openedAt
+	}
 	n.callsByID[call.id], n.callsByNumber[call.number] = call, call
 	srv.standing[call] = struct{}{}
 	n.adopted.add(call, c.id)
--- a/internal/edge/access/node.go
+++ b/internal/edge/access/node.go
@@ -68,9 +68,10 @@
 	MaxAdoptedCalls    int   // limit on standing calls known only from their callers; 0: default
 	Reachability       reachability.Settings
 
-	// HasCallerClosed reports whether a caller has closed its connection although CallerClosed has not been
-	// called yet. It is called right before a set-up is written. Nil means never.
-	HasCallerClosed func(ConnID) bool
+	// HasPeerClosed reports whether the peer of a connection has closed it although the node has not been told yet. It is
+	// called for a caller's connection right before a set-up is written, and for a trunk when its process has been replaced.
+	// Nil means never.
+	HasPeerClosed func(ConnID) bool
 
 	// HasUnreadInput reports whether bytes have arrived on a connection from callers that have not been passed to the
 	// node. It is called before a connection is evicted. Nil means never.
--- a/internal/edge/access/replacement_test.go
+++ b/internal/edge/access/replacement_test.go
@@ -47,3 +47,14 @@
 			s-1 accept; wait 1s; s-1 want`,
 	})
 }
+
+// TestReplacedProcessResetUnread guards against a call that moves to a new process although its connection was reset: the node has been
+// stalled, and reads the list before the reset.
+func TestReplacedProcessResetUnread(t *testing.T) {
+	var isReset bool
+	cfg := testConfig()
+	cfg.HasPeerClosed = func(ConnID) bool { return isReset }
+	s := runScript(t, cfg, `wait 3s; s-1 reset; wait 200ms; a call 1; wait 100ms`)
+	isReset = true
+	s.run(`list s-2@s-1 up 3200ms; a want BYE/1`)
+}
--- a/internal/edge/access/script_test.go
+++ b/internal/edge/access/script_test.go
@@ -39,12 +39,18 @@
 func runScript(t *testing.T, cfg Config, script string) *scriptRun {
 	s := &scriptRun{harness: newHarness(t, cfg, "s-1"), callers: map[string]ConnID{}}
 	s.started = s.now
+	s.run(script)
+	return s
+}
+
+// run runs the steps of a script.
+func (s *scriptRun) run(script string) {
+	s.t.Helper()
 	for step := range strings.SplitSeq(script, ";") {
 		if words := strings.Fields(step); len(words) > 0 {
 			s.step(strings.TrimSpace(step), words)
 		}
 	}
-	return s
 }
 
 func (s *scriptRun) step(step string, words []string) {
--- a/internal/edge/access/server_list.go
+++ b/internal/edge/access/server_list.go
@@ -1,7 +1,6 @@
 package access
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -34,7 +33,7 @@
 		}
 	}
 	for _, srv := range restarted {
-		n.endCallsBeforeStart(srv)
+		n.endCallsOfPreviousProcess(srv)
 	}
 	n.notifyModule(update)
 	for _, srv := range slices.Clone(n.serverOrder) {
@@ -115,63 +114,3 @@
 }
 
 var phaseTexts = map[larkrouter.Phase]string{larkrouter.Draining: "drains", larkrouter.Ready: "is up", larkrouter.Gone: "is gone"}
-
-// replacementOf returns a server that has started later at the server's address, or nil. The identity of a process is its server's
-// id and start, never its address.
-func (n *Node) replacementOf(srv *server) *server {
-	for _, other := range n.serverOrder {
-		if other.addr == srv.addr && other.startedUnixMilli > srv.startedUnixMilli {
-			return other
-		}
-	}
-	return nil
-}
-
-// serverAtAddressOf returns the server in service that has the address of a server that is gone, or nil.
-func (n *Node) serverAtAddressOf(gone *server) (found *server) {
-	for _, other := range n.serverOrder {
-		if other != gone && other.info.Phase != larkrouter.Gone && other.addr == gone.addr &&
-			(found == nil || other.startedUnixMilli > found.startedUnixMilli) {
-			found = other
-		}
-	}
-	return found
-}
-
-// endCallsOfReplaced ends the calls of a server that is gone and whose address a successor has. Calls set up there after the
-// successor's start stand at the successor. A call that its caller has named there stood at the old process.
-func (n *Node) endCallsOfReplaced(srv, successor *server) {
-	n.log(LogEntry{Event: "calls of a replaced server", Server: srv.id, Count: len(srv.standing),
-		Cause: fmt.Sprintf("%s has its address, started %v ago", successor.id, n.now-successor.info.Started)})
-	for _, call := range srv.standing.inOrder() {
-		if call.adoptedIn == nil && successor.info.Started > 0 && call.standingSince >= successor.info.Started {
-			n.moveCall(call, successor)
-		}
-	}
-	n.closeTrunks(srv, "another server has its address")
-	n.endLostCalls(srv, "another server has its address", false)
-}
-
-// moveCall assigns a standing call to the server at whose process it stands.
-func (n *Node) moveCall(call *callState, to *server) {
-	n.Totals.CallsMoved++
-	n.log(LogEntry{Event: "call moved", Server: to.id, Call: call.id, Cause: fmt.Sprintf("answered %v before its start, on a connection opened %v before",
-		to.info.Started-call.standingSince, to.info.Started-call.trunkOpenedAt)})
-	delete(call.server.standing, call)
-	call.server = to
-	to.standing[call] = struct{}{}
-}
-
-// endCallsBeforeStart ends the calls that stood before the server's last start: they ended with its previous process.
-func (n *Node) endCallsBeforeStart(srv *server) {
-	for _, call := range srv.awaitingRelease.inOrder() {
-		if call.standingSince < srv.info.Started {
-			n.dropServerRelease(call)
-		}
-	}
-	for _, call := range srv.standing.inOrder() {
-		if call.standingSince < srv.info.Started {
-			n.endLostCall(call, "the server has restarted")
-		}
-	}
-}
--- a/internal/edge/access/servers.go
+++ b/internal/edge/access/servers.go
@@ -45,6 +45,16 @@
 	return calls
 }
 
+// openTrunk returns an open trunk to the server, or nil.
+func (s *server) openTrunk() *trunkConn {
+	for _, t := range s.trunks {
+		if t.isOpen {
+			return t
+		}
+	}
+	return nil
+}
+
 // keepRelease keeps the release of a call that is about to be removed until a trunk to its server opens. Calls that the server has
 // answered are as many as it could hold. An adopted one still counts towards the limit on adopted calls, because it may not exist.
 func (s *server) keepRelease(call *callState) { s.awaitingRelease[call] = struct{}{} }
@@ -67,6 +77,12 @@
 // maintainServer opens and closes trunks to a server as needed and ends its calls once the server is known to
 // be dead.
 func (n *Node) maintainServer(srv *server) {
+	if srv.info.Phase == larkrouter.Gone && len(srv.standing)+len(srv.awaitingRelease) > 0 {
+		if successor := n.serverAtAddressOf(srv); successor != nil {
+			n.endCallsOfReplaced(srv, successor)
+			return
+		}
+	}
 	if srv.info.Phase == larkrouter.Gone && len(srv.standing) == 0 {
 		if len(srv.trunks) > 0 && n.now-srv.withdrawnAt > time.Second {
 			n.closeTrunks(srv, "the server is gone")
@@ -81,12 +97,6 @@
 		}
 		return
 	}
-	if srv.info.Phase == larkrouter.Gone {
-		if successor := n.serverAtAddressOf(srv); successor != nil {
-			n.endCallsOfReplaced(srv, successor)
-			return
-		}
-	}
 	if cause, isDead := srv.reachability.IsDead(n.now, srv.info.Phase == larkrouter.Gone); isDead && len(srv.standing) > 0 {
 		n.endLostCalls(srv, cause, srv.reachability.IsSilent())
 	}
@@ -164,12 +174,12 @@
 		if keepReleases {
 			srv.keepRelease(call)
 		}
-		n.endLostCall(call, cause)
+		n.endLostCall(call)
 	}
 }
 
 // endLostCall ends a standing call that its server ended without a release.
-func (n *Node) endLostCall(call *callState, cause string) {
+func (n *Node) endLostCall(call *callState) {
 	n.Totals.CallsLost++
 	n.removeCall(call)
 	n.releaseAtCaller(call, trunk.CauseReset)
--- a/internal/edge/access/totals.go
+++ b/internal/edge/access/totals.go
@@ -17,6 +17,7 @@
 	LateReplies          uint64 `json:"Late"`    // messages about abandoned or unknown set-ups
 	CallsLost            uint64 `json:"Cut"`     // standing calls lost with their server
 	CallsMoved           uint64 // standing calls assigned to the server that has taken the address of theirs
+	CallsUnclear         uint64 // standing calls ended at both ends, because it is not known at which process they stand
 	DuplicateIDs         uint64 // set-ups refused because a call with their id is open or has ended recently
 	OverOpenLimit        uint64 // set-ups refused because too many are open on the connection or at the node
 	SentAgain            uint64 // set-ups sent to a server after an earlier attempt of their call
--- a/internal/edge/access/trunks.go
+++ b/internal/edge/access/trunks.go
@@ -11,15 +11,23 @@
 
 // trunkConn is a connection to a call server.
 type trunkConn struct {
-	id        ConnID
-	server    *server
-	isOpen    bool
-	openedAt  time.Duration
-	lastUsed  time.Duration       // when it opened, or when a message was last read or written
+	id       ConnID
+	server   *server
+	isOpen   bool
+	openedAt time.Duration
+	lastUsed time.Duration // when it opened, or when a message was last read or written
+
+	lastReceived time.Duration // when it opened, or when bytes last arrived
+
 	pending   map[uint64]*attempt // set-ups that await an answer, by the caller's id of the call
 	abandoned map[uint64]struct{} // set-ups abandoned on it, by the caller's id: answers that still arrive for them are late
 }
 
+// hasPeerClosed reports whether the peer has closed a connection, also if the node has not been told yet.
+func (n *Node) hasPeerClosed(conn ConnID) bool {
+	return n.cfg.HasPeerClosed != nil && n.cfg.HasPeerClosed(conn)
+}
+
 // closeTrunks closes all trunks to a server.
 func (n *Node) closeTrunks(srv *server, cause string) {
 	n.log(LogEntry{Event: "connections left", Server: srv.id, Cause: cause, Count: len(srv.trunks)})
@@ -67,7 +75,7 @@
 	if t == nil {
 		return
 	}
-	t.isOpen, t.openedAt, t.lastUsed = true, n.now, n.now
+	t.isOpen, t.openedAt, t.lastUsed, t.lastReceived = true, n.now, n.now, n.now
 	srv := t.server
 	srv.reachability.ConnOpened(n.now)
 	for _, call := range srv.awaitingRelease.inOrder() {
@@ -125,7 +133,7 @@
 func (n *Node) TrunkBytesReceived(now time.Duration, conn ConnID) {
 	n.advanceClock(now)
 	if t := n.trunks[conn]; t != nil {
-		t.lastUsed = n.now
+		t.lastUsed, t.lastReceived = n.now, n.now
 		t.server.reachability.BytesReceived(n.now)
 	}
 }
@@ -244,15 +252,10 @@
 func (n *Node) releaseAtServer(call *callState, cause byte) {
 	srv := call.server
 	t := n.trunks[call.trunk]
-	if t == nil || !t.isOpen {
-		for _, other := range srv.trunks {
-			if other.isOpen {
-				t = other
-				break
-			}
-		}
+	if t == nil || !t.isOpen || t.server != srv {
+		t = srv.openTrunk()
 	}
-	if t == nil || !t.isOpen {
+	if t == nil {
 		srv.keepRelease(call)
 		return
 	}
--- a/internal/edge/scenario/channel.go
+++ b/internal/edge/scenario/channel.go
@@ -15,6 +15,7 @@
 // channel is the command channel together with the node's client, which uses the limits of package feed.
 type channel struct {
 	w              *world
+	clockAhead     time.Duration     // how far the clock of the listed starts is ahead of the node's; may be negative
 	members        map[string]string // list entries by server id, as JSON
 	events         []string          // of the node's run, as JSON
 	cursor         feed.Cursor
@@ -109,7 +110,7 @@
 
 // publish changes the entry of a server in the list.
 func (c *channel) publish(server *callServer, phase string) {
-	c.members[server.id] = formatMember(server, phase)
+	c.members[server.id] = c.formatMember(server, phase)
 	told := c.w.now
 	if c.firstByteDelay > 0 {
 		told += slowChannelTold
@@ -131,8 +132,9 @@
 	})
 }
 
-func formatMember(server *callServer, phase string) string {
-	started := server.startedAt.Milliseconds()
+// formatMember returns the entry of a server.
+func (c *channel) formatMember(server *callServer, phase string) string {
+	started := (server.startedAt + c.clockAhead).Milliseconds()
 	if server.startedAt == worldStart {
 		started = 0 // long ago
 	}
--- a/internal/edge/scenario/scenario.go
+++ b/internal/edge/scenario/scenario.go
@@ -1,7 +1,7 @@
 // Package scenario plays the access core of the platform's node in virtual time, among callers, call servers, a command channel and
 // bad clients, with disruptions that are drawn from a seed: a planned restart, a call server that dies, whose machine is lost or
 // whose address another takes, set-ups that keep every connection busy, a command channel that is slow, and clients that name calls
-// that they have made up. Package rules judges what the callers and call servers saw.
+// that they have made up. The starts in the list are times of another clock. Package rules judges what the callers and call servers saw.
 package scenario
 
 import (
@@ -30,7 +30,9 @@
 	stopAcceptTime   = 900 * time.Millisecond
 	maxStopTime      = callDeadline + 350*time.Millisecond
 	duration         = 75 * time.Second
-	maxAbandonedTime = 10 * time.Second // in which a call server must get the release of a call that its caller has ended
+	maxAbandonedTime = 10 * time.Second        // in which a call server must get the release of a call that its caller has ended
+	maxClockBehind   = 1500 * time.Millisecond // of the listed starts; a process starts at an address up to 1 s after the death of another
+	maxClockAhead    = 500 * time.Millisecond
 	settleTime       = 14 * time.Second // at the end: no more disruptions, and a connection from callers stays open
 )
 
@@ -92,7 +94,9 @@
 	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), now: worldStart, processes: map[netip.AddrPort]*callServer{},
 		standing: rules.NewStandingChecker(), rules: rules.NewChecker(rules.Parameters{AnswerSlack: answerTolerance, ReleaseGuard: releaseGuard,
 			DrainGrace: drainGrace, TryTimeouts: []rules.TryTimeout{{Prefix: "", Wait: callDeadline}}, Slack: 20 * time.Millisecond})}
-	w.channel = &channel{w: w, members: map[string]string{}}
+	clocks := rand.New(rand.NewPCG(seed, 2)) // apart from w.rng, so that all else in a scenario stays as it was without it
+	w.channel = &channel{w: w, members: map[string]string{},
+		clockAhead: time.Duration(clocks.Int64N(int64(maxClockBehind+maxClockAhead))) - maxClockBehind}
 	w.callers = &callers{w: w, calls: map[uint64]*call{}, lastID: seed << 20, placeEvery: w.between(200*time.Millisecond, 2*time.Second),
 		meanHoldTime: w.between(2*time.Second, 15*time.Second), idleTime: callerIdleTime}
 	if w.oneIn(2) {
@@ -100,7 +104,7 @@
 	}
 	for i := range serverCount {
 		server := w.startServer(fmt.Sprintf("s-%d", i), netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(7000+i)))
-		w.channel.members[server.id] = formatMember(server, feed.PhaseUp)
+		w.channel.members[server.id] = w.channel.formatMember(server, feed.PhaseUp)
 	}
 	w.startNode()
 	w.after(0, w.callers.placeCalls)
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -59,7 +59,7 @@
 	loop.maxSockets = int64(maxSockets)
 	node, err := access.New(access.Config{Module: cfg.Module, Edge: cfg.Edge, Seed: cfg.Seed, MaxCallerConns: maxCallerConns,
 		MaxTrunksPerServer: 4, MaxTrunks: maxSockets - maxCallerConns, MaxAdoptedCalls: admission.MaxAdoptedCalls(cfg.Limits.MemoryBytes),
-		ClockZeroUnixMilli: state.startedAt.Add(-clockStart).UnixMilli(), HasCallerClosed: loop.hasCallerClosed,
+		ClockZeroUnixMilli: state.startedAt.Add(-clockStart).UnixMilli(), HasPeerClosed: loop.hasPeerClosed,
 		HasUnreadInput: loop.hasUnreadInput}, state.clock())
 	if err != nil {
 		return err
@@ -90,8 +90,8 @@
 	return nil
 }
 
-// hasCallerClosed reports whether a caller has closed its connection.
-func (el *eventLoop) hasCallerClosed(conn access.ConnID) bool {
+// hasPeerClosed reports whether the peer has closed a connection.
+func (el *eventLoop) hasPeerClosed(conn access.ConnID) bool {
 	sock := el.sockets[conn]
 	return sock != nil && sock.hasPeerClosed()
 }
