--- /dev/null
+++ b/internal/edge/flood_test.go
@@ -0,0 +1,161 @@
+package edge
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"larkrouter/internal/edge/standin"
+)
+
+const (
+	answerAim         = 300 * time.Millisecond // promiseUs of the class in settingsText
+	floodTime         = 4 * time.Second
+	honestInterval    = 40 * time.Millisecond
+	floodRequests     = 64 // requests that a flooding client writes at once
+	firstFloodID      = 1 << 32
+	oneCoreLimits     = `{"cores":1,"memory_mb":192,"sockets":1024}`
+	unknownClassField = "X-Tier: no-such-class\r\nX-Deadline: 2000\r\nX-Attrs: dest:0;width:1;via:-1\r\n"
+)
+
+// TestFloodOnOneConnectionOnSockets guards against answers that come late to other clients while one client sends small requests at full
+// speed on one connection, each with an id of its own, and the node may use one core.
+func TestFloodOnOneConnectionOnSockets(t *testing.T) {
+	for name, request := range map[string]func(n int) string{
+		"unknown class":     func(n int) string { return formatRequest("INVITE", n, "x", unknownClassField) },
+		"OPTIONS":           formatOptions,
+		"INVITE and CANCEL": func(n int) string { return formatInvite(n) + formatRequest("CANCEL", n, "") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			env, stopServer := newOneCoreEnv(t)
+			defer stopServer()
+			flood := startFlood(t, env.nodeAddr, request)
+			delays := env.placeHonestCalls(floodTime)
+			flood.stop()
+			checkDelays(t, delays)
+			t.Logf("%d requests of the flooding client", flood.sent.Load())
+		})
+	}
+}
+
+// newOneCoreEnv returns a node in a process of its own, which may use one core, and its call server.
+func newOneCoreEnv(t *testing.T) (env *testEnv, stop func()) {
+	t.Helper()
+	addr := reserveAddr(t)
+	server := startServerProcess(t, addr)
+	env = newProcessEnv(t, standin.Member("s-x", addr, 0, "up"))
+	env.limits = oneCoreLimits
+	env.writeConfig()
+	node := env.startNodeProcess()
+	env.newCallers(0)
+	return env, func() {
+		node.kill()
+		server.kill()
+	}
+}
+
+// placeHonestCalls places calls at intervals, each on a connection of its own, and returns how long their answers took.
+func (env *testEnv) placeHonestCalls(d time.Duration) (delays []time.Duration) {
+	env.t.Helper()
+	results := make(chan time.Duration)
+	count := int(d / honestInterval)
+	for n := range count {
+		go func() { results <- env.placeHonestCall(n + 1) }()
+		time.Sleep(honestInterval)
+	}
+	for range count {
+		delays = append(delays, <-results)
+	}
+	slices.Sort(delays)
+	return delays
+}
+
+// noAnswer stands for the delay of a call without an answer.
+const noAnswer = time.Hour
+
+// placeHonestCall places a call on a new connection and returns how long its answer took.
+func (env *testEnv) placeHonestCall(n int) time.Duration {
+	started := time.Now()
+	conn, err := net.Dial("tcp", env.nodeAddr)
+	if err != nil {
+		return noAnswer
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(started.Add(10 * time.Second))
+	if _, err := io.WriteString(conn, formatInvite(n)); err != nil {
+		return noAnswer
+	}
+	var buf [64]byte
+	read, err := conn.Read(buf[:])
+	if err != nil || !strings.HasPrefix(string(buf[:read]), "SIP/2.0 ") {
+		return noAnswer
+	}
+	return time.Since(started)
+}
+
+// checkDelays checks that 99 in 100 answers came within the aim of their class, and that none is missing.
+func checkDelays(t *testing.T, delays []time.Duration) {
+	t.Helper()
+	median, high, last := delays[len(delays)/2], delays[len(delays)*99/100-1], delays[len(delays)-1]
+	t.Logf("%d calls: median %v, 99th percentile %v, last %v", len(delays), median, high, last)
+	if high > answerAim || last == noAnswer {
+		t.Errorf("answers after %v (99th percentile), the last after %v; want %v at most, and each answered", high, last, answerAim)
+	}
+}
+
+// flood is a client that sends requests at full speed on one connection, and reads what it is sent.
+type flood struct {
+	conn net.Conn
+	sent atomic.Int64
+	done chan struct{}
+}
+
+// startFlood starts a client that sends the requests of the given numbers, which begin far from those of other clients.
+func startFlood(t *testing.T, nodeAddr string, request func(n int) string) *flood {
+	t.Helper()
+	conn, err := net.Dial("tcp", nodeAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &flood{conn: conn, done: make(chan struct{})}
+	go func() { _, _ = io.Copy(io.Discard, conn) }()
+	go func() {
+		defer close(f.done)
+		one := request(firstFloodID)
+		batch := []byte(strings.Repeat(one, floodRequests))
+		for n := firstFloodID; ; n += floodRequests {
+			for i := range floodRequests {
+				setID(batch[i*len(one):(i+1)*len(one)], n+i)
+			}
+			if _, err := conn.Write(batch); err != nil {
+				return
+			}
+			f.sent.Add(floodRequests)
+		}
+	}()
+	return f
+}
+
+// setID replaces the id in all messages of a text, which has the form of formatRequest.
+func setID(text []byte, n int) {
+	const field = "Call-ID: "
+	for {
+		at := bytes.Index(text, []byte(field))
+		if at < 0 {
+			return
+		}
+		text = text[at+len(field):]
+		copy(text, fmt.Sprintf("%016x", n))
+	}
+}
+
+func (f *flood) stop() {
+	f.conn.Close()
+	<-f.done
+}
--- a/internal/edge/scenario_test.go
+++ b/internal/edge/scenario_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"log/slog"
@@ -24,6 +25,9 @@
 	"report":{"fields":["free","size","lat_ms"]},
 	"rules":{"answerSlackUs":20000,"coldShare":0.3,"drainGraceUs":1000000,"overloadForUs":2000000,"rampTimeUs":13000000,"tipMultiple":2}}`
 
+// defaultLimits are the limits in the configuration of a node.
+const defaultLimits = `{"sockets":1024}`
+
 // testEnv is a node on loopback sockets with simulated callers, call servers and command channel.
 type testEnv struct {
 	t           *testing.T
@@ -33,6 +37,7 @@
 	feed        *standin.Feed
 	servers     []*standin.Server
 	knownEvents []string
+	limits      string // of the node's configuration, as JSON; "": defaultLimits
 	signals     chan os.Signal
 	nodeExited  chan error
 }
@@ -70,8 +75,8 @@
 
 func (env *testEnv) writeConfig() {
 	env.t.Helper()
-	text := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"sockets":1024},"channel":%q,`+
-		`"known":{"cursor":%d,"cmds":[%s]},"settings":%s}`, env.nodeAddr, env.feed.Addr(),
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":%s,"channel":%q,`+
+		`"known":{"cursor":%d,"cmds":[%s]},"settings":%s}`, env.nodeAddr, cmp.Or(env.limits, defaultLimits), env.feed.Addr(),
 		len(env.knownEvents), strings.Join(env.knownEvents, ","), settingsText)
 	if err := os.WriteFile(env.configPath, []byte(text), 0o600); err != nil {
 		env.t.Fatal(err)
