--- a/internal/edge/flood_test.go
+++ b/internal/edge/flood_test.go
@@ -20,7 +20,7 @@
 	honestInterval    = 40 * time.Millisecond
 	floodRequests     = 64 // requests that a flooding client writes at once
 	firstFloodID      = 1 << 32
-	oneCoreLimits     = `{"cores":1,"memory_mb":192,"sockets":1024}`
+	oneCoreLimits     = `{"cores":1,"memory_mb":32,"sockets":1024}`
 	unknownClassField = "X-Tier: no-such-class\r\nX-Deadline: 2000\r\nX-Attrs: dest:0;width:1;via:-1\r\n"
 )
 
--- a/internal/edge/processes_test.go
+++ b/internal/edge/processes_test.go
@@ -99,7 +99,8 @@
 // startNodeProcess starts the node of an environment as a process, which is killed at the end of the test.
 func (env *testEnv) startNodeProcess() *process {
 	env.t.Helper()
-	return startProcess(env.t, nodeProcessEnv+"="+env.configPath)
+	env.node = startProcess(env.t, nodeProcessEnv+"="+env.configPath)
+	return env.node
 }
 
 // startServerProcess starts a call server at an address, and waits until it accepts connections.
--- a/internal/edge/scenario_test.go
+++ b/internal/edge/scenario_test.go
@@ -37,6 +37,7 @@
 	feed        *standin.Feed
 	servers     []*standin.Server
 	knownEvents []string
+	node        *process // if it runs as a process
 	limits      string // of the node's configuration, as JSON; "": defaultLimits
 	signals     chan os.Signal
 	nodeExited  chan error
