edge: incomplete messages and open set-ups are bounded by shares of the memory limit

Cause: nothing bounded what all connections together held. A message could have 31 KiB where the protocol says 16; a connection that the node had closed kept its incomplete message for 300 ms more while its input was discarded; and the read buffer of 4 KiB on each reader's stack made that 16 KiB.

Change: incomplete messages may hold a sixteenth of the limit; above it the connection that holds the most is closed. Set-ups that await an answer may hold an eighth; above it a set-up is refused unless its connection holds less than an equal share. The limit of 16 KiB holds for the whole message. A reader frees what it holds as soon as its connection is closed, and takes a buffer only when there are bytes to read.

--- a/internal/edge/access/callers.go
+++ b/internal/edge/access/callers.go
@@ -88,6 +88,7 @@
 // removeCallerConn removes a connection from callers. The calls that stand outlive it.
 func (n *Node) removeCallerConn(c *callerConn) {
 	delete(n.callerConns, c.id)
+	n.partialBytes -= c.PartialBytes
 	n.adopted.connClosed(c.id)
 }
 
@@ -112,16 +113,53 @@
 	}
 }
 
-// CallerPartialMessage records whether an incomplete message has been received on a connection.
-func (n *Node) CallerPartialMessage(now time.Duration, conn ConnID, isPartial bool) {
+// CallerPartialMessage records how many bytes of an incomplete message have been received on a connection. If those of all
+// connections are over their limit, the connections that hold the most are closed.
+func (n *Node) CallerPartialMessage(now time.Duration, conn ConnID, size int) {
 	n.advanceClock(now)
-	if c := n.callerConns[conn]; c == nil {
+	c := n.callerConns[conn]
+	if c == nil {
 		return
-	} else if !isPartial {
+	}
+	n.partialBytes += size - c.PartialBytes
+	c.PartialBytes = size
+	switch {
+	case size == 0:
 		c.PartialSince = 0
-	} else if c.PartialSince == 0 {
+	case c.PartialSince == 0:
 		c.PartialSince = n.now
 	}
+	for n.partialBytes > n.cfg.MaxPartialBytes {
+		n.Totals.ConnsOverMemory++
+		n.refuseAndClose(n.largestPartial())
+	}
+}
+
+// largestPartial returns the connection that holds the most bytes of an incomplete message.
+func (n *Node) largestPartial() (largest *callerConn) {
+	for _, c := range n.callerConns {
+		if largest == nil || c.PartialBytes > largest.PartialBytes || c.PartialBytes == largest.PartialBytes && c.id < largest.id {
+			largest = c
+		}
+	}
+	return largest
+}
+
+// refuseAndClose refuses the open calls of a connection from callers and closes it.
+func (n *Node) refuseAndClose(c *callerConn) {
+	if c.OpenCalls > 0 {
+		for _, call := range n.callsAwaitingAnswer() {
+			if call.conn != c.id {
+				continue
+			}
+			n.notifyModule(larkrouter.CallCancelled{Call: call.number})
+			if call.current != nil {
+				n.abandonAttempt(call.current, larkrouter.Cancelled)
+			}
+			n.refuseCall(call, 503, 0)
+		}
+	}
+	n.closeCaller(c)
 }
 
 // CallerProtocolError handles input that cannot be parsed. Nothing after it can be parsed either, so the
@@ -136,17 +174,8 @@
 	if parseErr, ok := sip.AsParseError(err); ok && parseErr.Status > 0 && parseErr.Partial != nil && parseErr.Partial.Method != sip.ACK {
 		n.write(conn, codec.Response(parseErr.Partial, parseErr.Status, 0, nil))
 	}
-	for _, call := range n.callsAwaitingAnswer() {
-		if call.conn == conn {
-			n.notifyModule(larkrouter.CallCancelled{Call: call.number})
-			if call.current != nil {
-				n.abandonAttempt(call.current, larkrouter.Cancelled)
-			}
-			n.refuseCall(call, 503, 0)
-		}
-	}
 	n.Totals.ConnsUnparsable++
-	n.closeCaller(c)
+	n.refuseAndClose(c)
 }
 
 // CallerMessage handles a message from a caller. receivedAt is when its last byte arrived.
--- a/internal/edge/access/calls.go
+++ b/internal/edge/access/calls.go
@@ -19,6 +19,7 @@
 	calledNumber    hexText      // number called, as received
 	conn            ConnID       // connection on which it was received
 	request         *sip.Message // INVITE; nil once the call stands
+	size            int          // bytes of memory that the INVITE takes
 	deadline        time.Duration
 	timer           timers.Timer
 	attempts        int      // number of attempts started
@@ -61,7 +62,8 @@
 		return
 	}
 	hasEnded := n.hasEnded(setUp.ID)
-	if isDuplicate || hasEnded || !c.CanOpenCall() ||
+	size := messageSize(msg)
+	if isDuplicate || hasEnded || !c.CanOpenCall() || !c.CanHold(size, n.openBytes, n.cfg.MaxOpenBytes, len(n.callerConns)) ||
 		n.cfg.Edge.MaxOpenCalls > 0 && n.openCallCount >= n.cfg.Edge.MaxOpenCalls {
 		status := 503
 		if isDuplicate || hasEnded { // every set-up must have an id of its own
@@ -78,13 +80,12 @@
 	n.lastCallNumber++
 	call := &callState{number: n.lastCallNumber, id: setUp.ID, callID: newHexText(msg.Get("Call-ID")),
 		calledNumber: newHexText(setUp.Number), conn: c.id,
-		request: msg, deadline: receivedAt + setUp.TimeLeft, setUp: setUp}
+		request: msg, size: size, deadline: receivedAt + setUp.TimeLeft, setUp: setUp}
 	if n.stopDeadline > 0 {
 		call.deadline = max(n.now, min(call.deadline, n.stopDeadline))
 	}
 	n.callsByID[call.id], n.callsByNumber[call.number] = call, call
-	n.openCallCount++
-	c.OpenCalls++
+	n.callOpened(call, c)
 	n.offerReleases(c)
 	n.timerHeap.Set(&call.timer, call.deadline, func() { n.expireCall(call) })
 	n.notifyModule(larkrouter.Call{ID: call.number, Class: class, CalledNumber: setUp.Key, TimeLeft: call.deadline - n.now,
@@ -92,6 +93,38 @@
 		Circuits:    setUp.Circuits, RouteHint: setUp.Via, IsRedial: setUp.IsResent, WasCutOff: setUp.WasCutOff})
 }
 
+// messageSize returns about how many bytes of memory a message takes.
+func messageSize(msg *sip.Message) int {
+	const fieldOverhead = 32 // bytes of a field beside its text
+	size := len(msg.URI) + len(msg.Body)
+	for i := range msg.Fields {
+		size += len(msg.Fields[i].Name) + len(msg.Fields[i].Value) + fieldOverhead
+	}
+	return size
+}
+
+// callOpened counts an open call.
+func (n *Node) callOpened(call *callState, c *callerConn) {
+	n.openCallCount++
+	n.openBytes += call.size
+	c.OpenCalls++
+	c.OpenBytes += call.size
+}
+
+// callNoLongerOpen counts a call that has been answered or ended. It returns the connection of the call, or nil if that has ended.
+func (n *Node) callNoLongerOpen(call *callState) *callerConn {
+	n.openCallCount--
+	n.openBytes -= call.size
+	c := n.callerConns[call.conn]
+	if c == nil {
+		return nil
+	}
+	c.OpenCalls--
+	c.OpenBytes -= call.size
+	c.LastUsed = n.now
+	return c
+}
+
 // expireCall ends a call whose deadline has passed. The module abandons a call shortly before that. If the node
 // is late, the caller, which has not cancelled the set-up, still gets its one final answer.
 func (n *Node) expireCall(call *callState) {
@@ -134,10 +167,7 @@
 func (n *Node) answerCall(call *callState, description []byte) {
 	n.Totals.Answered++
 	n.write(call.conn, codec.Response(call.request, 200, 0, description))
-	n.openCallCount--
-	if c := n.callerConns[call.conn]; c != nil {
-		c.OpenCalls--
-		c.LastUsed = n.now
+	if c := n.callNoLongerOpen(call); c != nil {
 		n.markAnswered(c)
 	}
 	n.timerHeap.Stop(&call.timer)
@@ -161,11 +191,7 @@
 // forgetCall removes a call.
 func (n *Node) forgetCall(call *callState) {
 	if !call.isStanding {
-		n.openCallCount--
-		if c := n.callerConns[call.conn]; c != nil {
-			c.OpenCalls--
-			c.LastUsed = n.now
-		}
+		n.callNoLongerOpen(call)
 	}
 	if call.server != nil {
 		delete(call.server.standing, call)
--- a/internal/edge/access/node.go
+++ b/internal/edge/access/node.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"larkrouter"
+	"larkrouter/internal/edge/admission"
 	"larkrouter/internal/edge/reachability"
 	"larkrouter/internal/edge/settings"
 	"larkrouter/internal/timers"
@@ -66,6 +67,8 @@
 	MaxTrunksPerServer int   // limit on trunks to one call server, which sends its state on at most four of them
 	MaxTrunks          int   // limit on all trunks, not counting the first to each server and probes; 0: no limit
 	MaxAdoptedCalls    int   // limit on standing calls known only from their callers; 0: default
+	MaxPartialBytes    int   // limit on the bytes of incomplete messages from callers; 0: default
+	MaxOpenBytes       int   // limit on the bytes of set-ups that await an answer; 0: default
 	Reachability       reachability.Settings
 
 	// HasPeerClosed reports whether the peer of a connection has closed it although the node has not been told yet. It is
@@ -92,6 +95,8 @@
 	callsByID        map[uint64]*callState // by the caller's id; open and standing calls
 	callsByNumber    map[uint64]*callState // by the module's number; open and standing calls
 	openCallCount    int
+	openBytes        int // of the messages of open calls
+	partialBytes     int // of incomplete messages from callers
 	adopted          *adoptedCalls
 	ended            endedCalls // calls that ended at this node
 	releasedUnknown  endedCalls // calls that servers released and that the node did not know
@@ -119,6 +124,8 @@
 	}
 	cfg.MaxTrunksPerServer, cfg.MaxCallerConns, cfg.MaxTrunks = max(cfg.MaxTrunksPerServer, 1),
 		max(cfg.MaxCallerConns, 1), cmp.Or(max(cfg.MaxTrunks, 0), math.MaxInt)
+	cfg.MaxPartialBytes = cmp.Or(cfg.MaxPartialBytes, admission.MaxPartialBytes(0))
+	cfg.MaxOpenBytes = cmp.Or(cfg.MaxOpenBytes, admission.MaxOpenBytes(0))
 	cfg.Reachability.ConnectTimeout = cfg.Edge.ConnectTimeout
 	n := &Node{cfg: cfg, module: module, classIndex: map[string]int{}, callsByID: map[uint64]*callState{},
 		callsByNumber: map[uint64]*callState{}, callerConns: map[ConnID]*callerConn{}, servers: map[string]*server{},
--- a/internal/edge/access/node_test.go
+++ b/internal/edge/access/node_test.go
@@ -386,7 +386,7 @@
 		t.Errorf("%d connections are open, want at most the limit", h.node.CallerConns())
 	}
 	partial := silent[len(silent)-1]
-	h.node.CallerPartialMessage(h.now, partial, true)
+	h.node.CallerPartialMessage(h.now, partial, 1)
 	h.advance(2500 * ms)
 	for _, conn := range silent {
 		if !h.closed[conn] {
--- a/internal/edge/access/totals.go
+++ b/internal/edge/access/totals.go
@@ -29,6 +29,7 @@
 	ConnsIncomplete      uint64 // caller connections closed because a message did not complete
 	ConnsWithoutCall     uint64 // caller connections closed because no call on them was answered
 	ConnsIdle            uint64 // caller connections closed because they were idle
+	ConnsOverMemory      uint64 // caller connections closed because incomplete messages held too much memory
 	ConnsUnparsable      uint64 // caller connections closed because their input could not be parsed
 }
 
--- a/internal/edge/admission/admission.go
+++ b/internal/edge/admission/admission.go
@@ -7,7 +7,10 @@
 // opens another.
 package admission
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	unprovenTimeout = 2200 * time.Millisecond // no call on it was ever answered, and no set-up is open
@@ -27,7 +30,9 @@
 type Conn struct {
 	OpenedAt, LastUsed time.Duration
 	PartialSince       time.Duration // when the current incomplete message started; 0: none
+	PartialBytes       int           // received of the current incomplete message
 	OpenCalls          int           // set-ups that await an answer
+	OpenBytes          int           // of the messages of these set-ups
 	Proven             bool          // a call received on it was answered, or a standing call was adopted on it
 }
 
@@ -69,6 +74,32 @@
 	return c.LastUsed < other.LastUsed
 }
 
+// Shares of the memory limit that callers can fill: one in so many bytes.
+const (
+	partialMessageShare = 16
+	openCallShare       = 8
+)
+
+// defaultMemory stands for the memory limit where there is none.
+const defaultMemory = 192 << 20
+
+// MaxPartialBytes returns how many bytes of incomplete messages may be held for callers under a memory limit; 0 stands for no
+// limit.
+func MaxPartialBytes(memoryBytes int64) int {
+	return int(cmp.Or(memoryBytes, defaultMemory) / partialMessageShare)
+}
+
+// MaxOpenBytes returns how many bytes of set-ups that await an answer may be held under a memory limit; 0 stands for no limit.
+func MaxOpenBytes(memoryBytes int64) int {
+	return int(cmp.Or(memoryBytes, defaultMemory) / openCallShare)
+}
+
+// CanHold reports whether a set-up may be held for the connection, where the set-ups of all connections hold some bytes already. At the
+// limit, connections with less than an equal share may still place calls, so that one client's calls do not displace those of others.
+func (c *Conn) CanHold(size, heldByAll, limit, conns int) bool {
+	return heldByAll+size <= limit || c.OpenBytes+size <= limit/max(conns, 1)
+}
+
 // Limits on the standing calls that are known only because callers have named them.
 const (
 	adoptedCallBytes       = 512
--- a/internal/edge/caller/caller.go
+++ b/internal/edge/caller/caller.go
@@ -23,7 +23,7 @@
 )
 
 // Limits are the limits of a caller's message: 16 KiB in total.
-var Limits = sip.Limits{MaxLine: 1024, MaxFields: 64, MaxBody: 15 << 10, AllowBare: true}
+var Limits = sip.Limits{MaxLine: 1024, MaxFields: 64, MaxBody: 15 << 10, MaxMessage: 16 << 10, AllowBare: true}
 
 // SetUp is a validated INVITE.
 type SetUp struct {
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -35,7 +35,7 @@
 	callerMessages []*sip.Message
 	trunkMessages  []*trunk.Message
 	hasBytes       bool  // bytes have been received, which need not complete a message
-	isPartial      bool  // an incomplete message has been received
+	partialBytes   int   // bytes of an incomplete message that have been received
 	protocolErr    error // the input cannot be parsed
 	connErr        error // the connection has ended, or the dial or write has failed
 	list           *feed.List
@@ -160,7 +160,7 @@
 	for _, msg := range event.callerMessages {
 		el.node.CallerMessage(el.clock(), event.receivedAt, conn, msg)
 	}
-	el.node.CallerPartialMessage(now, conn, event.isPartial)
+	el.node.CallerPartialMessage(now, conn, event.partialBytes)
 	if event.protocolErr != nil {
 		el.node.CallerProtocolError(now, conn, event.protocolErr)
 	}
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -1,6 +1,12 @@
 package edge
 
 import (
+	"io"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
 	"larkrouter/internal/edge/caller"
 	"larkrouter/internal/edge/trunk"
 	"larkrouter/internal/sip"
@@ -18,7 +24,6 @@
 	state        *sharedState
 	callerStream sip.Stream
 	trunkStream  trunk.Stream
-	discarded    int     // bytes read since this side closed the connection
 	backlog      backlog // of its input
 }
 
@@ -27,27 +32,67 @@
 	defer state.socketCount.Add(-1)
 	defer s.conn.Close()
 	r := &reader{socket: s, state: state, callerStream: sip.Stream{Limits: caller.Limits}}
-	var buf [readSize]byte
-	for {
-		n, err := s.conn.Read(buf[:])
+	for !s.isClosed.Load() {
+		n, err := s.receive(r.feed)
 		if s.isClosed.Load() {
-			if r.discarded += n; err != nil || r.discarded > maxLingerBytes {
-				return
-			}
-			continue
+			break
 		}
-		r.feed(buf[:n])
 		if !r.deliver(n > 0, err) {
 			return
 		}
 		if s.isClosed.Load() {
-			continue
+			break
 		}
 		r.backlog.observe(s.isReadable())
 		if r.backlog.isPersistent() && !state.backlogGate.wait(state.done) {
 			return
 		}
 	}
+	s.linger()
+}
+
+// readBuffers holds the buffers of readSize bytes that connections are read into. A connection has one only while bytes are read, so that
+// silent ones take little memory.
+var readBuffers = sync.Pool{New: func() any { return new([readSize]byte) }}
+
+// receive waits for bytes and passes them to use, which must not keep them.
+func (s *socket) receive(use func([]byte)) (n int, err error) {
+	var readErr error
+	err = s.raw.Read(func(fd uintptr) bool {
+		buf := readBuffers.Get().(*[readSize]byte)
+		defer readBuffers.Put(buf)
+		for {
+			n, readErr = syscall.Read(int(fd), buf[:])
+			if readErr != syscall.EINTR {
+				break
+			}
+		}
+		n = max(n, 0)
+		use(buf[:n])
+		return readErr != syscall.EAGAIN
+	})
+	switch {
+	case err != nil:
+		return n, err
+	case readErr != nil:
+		return n, os.NewSyscallError("read", readErr)
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// linger discards input for a short time after this side has closed the connection, so that the peer can still read what was written.
+func (s *socket) linger() {
+	<-s.closed
+	_ = s.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	for discarded := 0; discarded <= maxLingerBytes; {
+		n, err := s.receive(func([]byte) {})
+		if err != nil {
+			return
+		}
+		discarded += n
+	}
 }
 
 // feed adds bytes that were read to the stream of messages.
@@ -71,7 +116,7 @@
 	}
 	for more := true; more; {
 		more = r.parse(&event)
-		event.isPartial = !r.isTrunk && r.callerStream.IsMidMessage()
+		event.partialBytes = r.callerStream.Held()
 		if !more {
 			event.connErr = readErr
 		}
--- a/internal/edge/scenario_test.go
+++ b/internal/edge/scenario_test.go
@@ -38,7 +38,7 @@
 	servers     []*standin.Server
 	knownEvents []string
 	node        *process // if it runs as a process
-	limits      string // of the node's configuration, as JSON; "": defaultLimits
+	limits      string   // of the node's configuration, as JSON; "": defaultLimits
 	signals     chan os.Signal
 	nodeExited  chan error
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -60,6 +60,7 @@
 	loop.maxSockets = int64(maxSockets)
 	node, err := access.New(access.Config{Module: cfg.Module, Edge: cfg.Edge, Seed: cfg.Seed, MaxCallerConns: maxCallerConns,
 		MaxTrunksPerServer: 4, MaxTrunks: maxSockets - maxCallerConns, MaxAdoptedCalls: admission.MaxAdoptedCalls(cfg.Limits.MemoryBytes),
+		MaxPartialBytes: admission.MaxPartialBytes(cfg.Limits.MemoryBytes), MaxOpenBytes: admission.MaxOpenBytes(cfg.Limits.MemoryBytes),
 		ClockZeroUnixMilli: state.startedAt.Add(-clockStart).UnixMilli(), HasPeerClosed: loop.hasPeerClosed,
 		HasUnreadInput: loop.hasUnreadInput}, state.clock())
 	if err != nil {
--- a/internal/edge/socket.go
+++ b/internal/edge/socket.go
@@ -30,6 +30,7 @@
 	closeAfterFlush bool          // close once the unsent bytes are written
 	eventHandled    chan struct{} // signals that the loop has handled the last event of the reader
 	isClosed        atomic.Bool   // the reader sends no more events to the loop
+	closed          chan struct{} // closed once this side has closed the connection
 	isUnflushed     bool
 
 	hasUnhandledInput atomic.Bool // the reader has read bytes that the loop has not handled
@@ -40,7 +41,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &socket{id: id, conn: conn, raw: raw, isTrunk: isTrunk, eventHandled: make(chan struct{}, 1)}, nil
+	return &socket{id: id, conn: conn, raw: raw, isTrunk: isTrunk, eventHandled: make(chan struct{}, 1),
+		closed: make(chan struct{})}, nil
 }
 
 // write writes the unsent bytes without blocking. Bytes that the kernel does not accept stay in s.unsent.
@@ -106,8 +108,9 @@
 		s.conn.Close()
 	} else {
 		_ = s.conn.CloseWrite()
-		_ = s.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+		_ = s.conn.SetReadDeadline(time.Now()) // the reader frees what it holds, and lingers
 	}
+	close(s.closed)
 	select {
 	case s.eventHandled <- struct{}{}:
 	default:
--- a/internal/sip/parse.go
+++ b/internal/sip/parse.go
@@ -16,6 +16,8 @@
 	MaxLine   int // bytes of a start line or an unfolded header field; default 4,096
 	MaxFields int // number of header fields; default 128
 	MaxBody   int // bytes of a body; default 65,535
+	// MaxMessage is the limit for the header and the body together, in bytes, on a connection; default none.
+	MaxMessage int
 	// AllowBare accepts messages without Via, From and To, which the platform's callers send (docs/platform.md). Call-ID and
 	// CSeq remain mandatory.
 	AllowBare bool
--- a/internal/sip/stream.go
+++ b/internal/sip/stream.go
@@ -8,6 +8,7 @@
 	Limits        Limits
 	buf           []byte
 	pending       *Message // parsed header of a message whose body is incomplete
+	pendingHead   int      // bytes of that header
 	pendingLength int      // Content-Length of that message, in bytes
 	pings         int
 	err           error
@@ -27,6 +28,14 @@
 // IsMidMessage reports whether part of an incomplete message has been received.
 func (s *Stream) IsMidMessage() bool { return s.pending != nil || len(s.buf) > 0 }
 
+// Held returns the number of bytes of an incomplete message that have been received.
+func (s *Stream) Held() int {
+	if s.pending == nil {
+		return len(s.buf)
+	}
+	return s.pendingHead + len(s.buf)
+}
+
 // Next returns the next complete message, or nil if more bytes are needed. After an error the start of the next message
 // is unknown: every later call returns the same error and the connection must be closed.
 func (s *Stream) Next() (*Message, error) {
@@ -56,8 +65,8 @@
 		}
 		end := bytes.Index(s.buf, []byte("\r\n\r\n"))
 		if end < 0 {
-			if len(s.buf) > s.Limits.maxHeaderBytes() {
-				return nil, newParseError(0, nil, "header on a connection: must be at most %d bytes", s.Limits.maxHeaderBytes())
+			if maximum := s.Limits.maxHeaderBytes(); len(s.buf) > maximum {
+				return nil, newParseError(0, nil, "header on a connection: must be at most %d bytes", maximum)
 			}
 			s.shrinkBuffer()
 			return nil, nil
@@ -72,7 +81,10 @@
 		if length > lim.MaxBody {
 			return nil, newParseError(513, m, "Content-Length %d: must be at most %d", length, lim.MaxBody)
 		}
-		s.pending, s.pendingLength, s.buf = m, length, s.buf[end+4:]
+		if lim.MaxMessage > 0 && end+4+length > lim.MaxMessage {
+			return nil, newParseError(513, m, "message of %d bytes: must be at most %d", end+4+length, lim.MaxMessage)
+		}
+		s.pending, s.pendingHead, s.pendingLength, s.buf = m, end+4, length, s.buf[end+4:]
 	}
 	if len(s.buf) < s.pendingLength {
 		s.shrinkBuffer()
