edge: one client's ended calls no longer make the node forget the ids of others

Cause: the node refuses a set-up with the id of a call that ended in the last 10 s, but it remembered the last 20,000 ids of all clients together. A client that places and cancels calls at full speed fills that in two seconds, and then an id of another client is taken for new.

Evidence: TestEndedIDsAreRemembered, where a client leaves an open call, another one cancels 20,100 calls on one connection or 25,000 on 250, and the first id comes again: it was accepted and sent, both times. Without such a flood, clients that left open calls and came back at once were refused.

Change: at the limit the connection with the most ended calls forgets its oldest one, and all closed connections count as one. Releases that the node cannot assign keep a list of their own.

--- a/internal/edge/access/callers.go
+++ b/internal/edge/access/callers.go
@@ -90,6 +90,7 @@
 	delete(n.callerConns, c.id)
 	n.partialBytes -= c.PartialBytes
 	n.adopted.connClosed(c.id)
+	n.endedIDs.connClosed(c.id)
 }
 
 // CallerClosed handles the end of a connection from callers. Its open calls can no longer be answered and are
--- a/internal/edge/access/calls.go
+++ b/internal/edge/access/calls.go
@@ -185,7 +185,7 @@
 		return
 	}
 	n.forgetCall(call)
-	n.ended.add(call.id, endedCall{endedAt: n.now})
+	n.endedIDs.add(n.now, call.id, call.conn, n.callerConns[call.conn] == nil)
 }
 
 // forgetCall removes a call.
@@ -218,12 +218,12 @@
 	call := &callState{number: n.lastCallNumber, id: setUp.ID, callID: newHexText(msg.Get("Call-ID")),
 		calledNumber: newHexText(setUp.Number), conn: c.id, isStanding: true, standingSince: n.now}
 	srv := n.servers[setUp.StandingAt]
-	ended, hasEnded := n.endedCall(setUp.ID)
+	released, isReleased := n.unknownReleases.byID[setUp.ID]
 	switch {
-	case ended.cause != 0: // its server has released it
-		n.forwardRelease(call, ended.cause)
+	case isReleased: // its server has released it
+		n.forwardRelease(call, released.cause)
 		return
-	case hasEnded:
+	case n.hasEnded(setUp.ID):
 		n.releaseAtCaller(call, trunk.CauseReset)
 		return
 	case srv == nil:
--- a/internal/edge/access/memory_test.go
+++ b/internal/edge/access/memory_test.go
@@ -1,6 +1,7 @@
 package access
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 )
@@ -54,3 +55,29 @@
 		t.Errorf("%d bytes are counted after all calls have ended, want 0", s.node.openBytes)
 	}
 }
+
+// cancelCalls places calls and cancels each at once.
+func (s *scriptRun) cancelCalls(caller string, first, count int) {
+	for n := first; n < first+count; n++ {
+		s.sendFromCaller(s.callers[caller], formatInvite(n, "dest:0;width:1;via:-1")+formatRequest("CANCEL", n, "", ""))
+	}
+}
+
+// TestEndedIDsAreRemembered guards against a call that runs twice: its client leaves and comes again with the same id, while the calls of
+// other clients have filled the memory of ended ids.
+func TestEndedIDsAreRemembered(t *testing.T) {
+	s := runScript(t, testConfig(), `a try 1; a close; x options 0`)
+	s.cancelCalls("x", 100, maxEndedCalls+100)
+	s.run(`b try 1; b want 482/1`)
+	s = runScript(t, testConfig(), `a try 1; a close`)
+	for conn := range 250 { // each of many connections has ended more calls than the client that left
+		name := fmt.Sprint("x", conn)
+		s.run(name + ` options 0`)
+		s.cancelCalls(name, 100+conn*100, 100)
+		s.run(name + ` close`)
+	}
+	s.run(`b try 1; b want 482/1`)
+	if count := len(s.node.endedIDs.byID); count > maxEndedCalls {
+		t.Errorf("%d ids are remembered, want at most %d", count, maxEndedCalls)
+	}
+}
--- a/internal/edge/access/node.go
+++ b/internal/edge/access/node.go
@@ -98,8 +98,8 @@
 	openBytes        int // of the messages of open calls
 	partialBytes     int // of incomplete messages from callers
 	adopted          *adoptedCalls
-	ended            endedCalls // calls that ended at this node
-	releasedUnknown  endedCalls // calls that servers released and that the node did not know
+	endedIDs         endedIDs        // of calls that ended at this node
+	unknownReleases  unknownReleases // of calls that the node did not know
 	callerConns      map[ConnID]*callerConn
 	pendingReleases  releaseQueue // releases for callers, while no suitable caller connection is open
 	servers          map[string]*server
@@ -130,7 +130,7 @@
 	n := &Node{cfg: cfg, module: module, classIndex: map[string]int{}, callsByID: map[uint64]*callState{},
 		callsByNumber: map[uint64]*callState{}, callerConns: map[ConnID]*callerConn{}, servers: map[string]*server{},
 		serversByNumber: map[uint32]*server{}, trunks: map[ConnID]*trunkConn{}, now: now,
-		adopted: newAdoptedCalls(cfg.MaxAdoptedCalls), ended: newEndedCalls(), releasedUnknown: newEndedCalls(),
+		adopted: newAdoptedCalls(cfg.MaxAdoptedCalls), endedIDs: newEndedIDs(), unknownReleases: newUnknownReleases(),
 		pendingReleases: newReleaseQueue()}
 	for i, class := range cfg.Module.Classes {
 		n.classIndex[class.Name] = i
@@ -221,8 +221,8 @@
 	for _, srv := range slices.Clone(n.serverOrder) {
 		n.maintainServer(srv)
 	}
-	n.ended.removeExpired(n.now)
-	n.releasedUnknown.removeExpired(n.now)
+	n.endedIDs.removeExpired(n.now)
+	n.unknownReleases.removeExpired(n.now)
 	n.timerHeap.Set(&n.maintenanceTimer, n.now+maintenanceInterval, n.maintain)
 }
 
--- a/internal/edge/access/node_test.go
+++ b/internal/edge/access/node_test.go
@@ -438,14 +438,14 @@
 	}
 	h.advance(70 * time.Second)
 	node := h.node
-	if len(node.callsByID)+len(node.callsByNumber)+len(node.callerConns)+len(node.ended.byID)+len(node.ended.oldestFirst)+
-		len(node.releasedUnknown.byID)+len(node.releasedUnknown.oldestFirst)+node.pendingReleases.len()+
+	if len(node.callsByID)+len(node.callsByNumber)+len(node.callerConns)+len(node.endedIDs.byID)+len(node.endedIDs.oldestFirst)+len(node.endedIDs.byConn)+
+		len(node.unknownReleases.byID)+len(node.unknownReleases.oldestFirst)+node.pendingReleases.len()+
 		len(node.pendingReleases.answered.all)+len(node.pendingReleases.answered.unreached) != 0 ||
 		len(node.servers) != 1 || len(node.serversByNumber) != 1 || len(node.serverOrder) != 1 || len(node.trunks) > 2 ||
 		node.timerHeap.Len() > 10 {
 		t.Errorf("left: %d calls, %d callers, %d ended, %d servers, %d trunks, %d timers; want one server, up to 2 trunks, 10 timers",
 			len(node.callsByID),
-			len(node.callerConns), len(node.ended.byID)+len(node.releasedUnknown.byID), len(node.servers), len(node.trunks), node.timerHeap.Len())
+			len(node.callerConns), len(node.endedIDs.byID)+len(node.unknownReleases.byID), len(node.servers), len(node.trunks), node.timerHeap.Len())
 	}
 }
 
--- a/internal/edge/access/trunks.go
+++ b/internal/edge/access/trunks.go
@@ -228,7 +228,7 @@
 		n.notifyModule(event)
 	case call == nil && !n.hasEnded(msg.Call): // of a previous run of the node; its caller may still name it
 		n.Totals.UnknownCalls++
-		n.releasedUnknown.add(msg.Call, endedCall{n.now, cmp.Or(cause, trunk.CauseReset)})
+		n.unknownReleases.add(msg.Call, unknownRelease{n.now, cmp.Or(cause, trunk.CauseReset)})
 	}
 }
 
