edge: cancelled calls of one client no longer close connections to call servers

Set-ups of other clients were reset every few tenths of a second while one client placed and cancelled calls at full speed.

Cause: a connection to a call server remembers the set-ups that were abandoned on it, so that their late answers are known as such. At 4,096 it was closed, with all set-ups pending on it.

Evidence: TestCancelledCallsCloseNoTrunk: with 12,288 cancelled calls the only connection is closed, and the pending set-up of another client is not answered.

Change: at the limit the set-ups of calls that have ended are forgotten: their ids are refused for 10 s anyway, and late answers to them find no call. The connection is closed only if most of the calls are still open.

--- a/internal/edge/access/attempts.go
+++ b/internal/edge/access/attempts.go
@@ -1,6 +1,7 @@
 package access
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -13,6 +14,9 @@
 // AttemptCounts count the attempts at a server since the node started.
 type AttemptCounts struct{ Sent, Answered, Refused, Failed, TimedOut, Reset, NoConnection, Cancelled uint64 }
 
+// maxAbandonedSetUps is the limit on the abandoned set-ups that are remembered for one trunk.
+const maxAbandonedSetUps = 4096
+
 // attempt is one set-up of a call at a call server.
 type attempt struct {
 	call      *callState
@@ -114,14 +118,23 @@
 	if t := att.trunk; t != nil {
 		t.abandoned[att.call.id] = struct{}{}
 		n.write(t.id, encodeMessage(trunk.TypeRelease, att.call.id, trunk.CauseNormal))
-		if len(t.abandoned) > 4096 { // a new trunk instead of a set that grows without bound
-			clear(t.abandoned)
-			defer n.closeTrunk(t)
+		if len(t.abandoned) > maxAbandonedSetUps {
+			defer n.forgetAbandoned(t)
 		}
 	}
 	n.endAttempt(att, larkrouter.AttemptResult{Outcome: outcome})
 }
 
+// forgetAbandoned forgets the abandoned set-ups of calls that have ended: no other set-up of them follows on the trunk, and late answers
+// find no call. If most calls are still open, the trunk is closed instead, as the set must not grow without bound.
+func (n *Node) forgetAbandoned(t *trunkConn) {
+	maps.DeleteFunc(t.abandoned, func(id uint64, _ struct{}) bool { return n.callsByID[id] == nil })
+	if len(t.abandoned) > maxAbandonedSetUps/2 && n.trunks[t.id] == t {
+		clear(t.abandoned)
+		n.closeTrunk(t)
+	}
+}
+
 // detachAttempt removes an attempt from its timer, trunk or queue, and call.
 func (n *Node) detachAttempt(att *attempt) {
 	n.timerHeap.Stop(&att.timer)
--- a/internal/edge/access/memory_test.go
+++ b/internal/edge/access/memory_test.go
@@ -81,3 +81,22 @@
 		t.Errorf("%d ids are remembered, want at most %d", count, maxEndedCalls)
 	}
 }
+
+// TestCancelledCallsCloseNoTrunk guards against set-ups that are reset because another client has cancelled many calls: the node remembers
+// the abandoned set-ups of a trunk, and closed it at a limit.
+func TestCancelledCallsCloseNoTrunk(t *testing.T) {
+	s := runScript(t, testConfig(), `a call 10; a call 11; a call 12; wait 100ms; a try 1; x options 0`)
+	s.cancelCalls("x", 100, 3*maxAbandonedSetUps)
+	if sent := s.node.servers["s-1"].counts.Sent; sent < 2*maxAbandonedSetUps {
+		t.Errorf("%d set-ups were sent, want at least %d", sent, 2*maxAbandonedSetUps)
+	}
+	s.run(`s-1 answer 1; a want 200/1`)
+	for _, conn := range s.trunks[serverAddr("s-1")] {
+		if s.closed[conn] {
+			t.Errorf("trunk %d was closed", conn)
+		}
+		if count := len(s.node.trunks[conn].abandoned); count > maxAbandonedSetUps {
+			t.Errorf("trunk %d remembers %d set-ups, want at most %d", conn, count, maxAbandonedSetUps)
+		}
+	}
+}
