--- a/internal/edge/standin/recorder.go
+++ b/internal/edge/standin/recorder.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"larkrouter/internal/rules"
+	"larkrouter/internal/sip"
 )
 
 // Recorder collects the capture. It is safe for concurrent use.
@@ -28,6 +29,21 @@
 	return append([]rules.Record(nil), r.records...)
 }
 
+// Now returns the time by the clock of the capture.
+func (r *Recorder) Now() time.Duration { return time.Since(r.startedAt) }
+
+// SetUps returns when the set-ups of each call reached a call server, by the id of the call.
+func (r *Recorder) SetUps() map[string][]time.Duration {
+	setUps := map[string][]time.Duration{}
+	for _, record := range r.Records() {
+		if record.Kind == "msg" && record.OwnerKind == "server" && record.Direction == "in" && record.Msg.Method == sip.INVITE {
+			call := record.Msg.Get("Session-ID")
+			setUps[call] = append(setUps[call], record.Time)
+		}
+	}
+	return setUps
+}
+
 func (r *Recorder) add(record rules.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/edge/standin/server.go
+++ b/internal/edge/standin/server.go
@@ -58,6 +58,13 @@
 // Addr returns the server's address.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
+// SetWork sets the time from a set-up to its answer.
+func (s *Server) SetWork(work time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Work = work
+}
+
 // SetHold sets how long calls that are answered from now on stand.
 func (s *Server) SetHold(hold time.Duration) {
 	s.mu.Lock()
