edge: a request to a silent command channel is repeated beside the one that waits

Cause: the limit for the first byte doubles up to 16 s, so that a slow channel is heard. After a long silence the request that waits was made before the channel came back, and may never be answered; the next one followed up to 16 s later.

Evidence: TestChannelBackFromSilence: the limit has grown in a silence, the channel is back right after the request, and the change is not heard within 6 s.

Change: while no request has been answered, another one is made every 4 s, four at the most. The first response ends the other requests.

--- a/internal/edge/feedclient.go
+++ b/internal/edge/feedclient.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -20,11 +19,6 @@
 	addr   string
 	cursor *feed.Cursor
 	limit  feed.FirstByteLimit
-
-	// State of the current request.
-	connectedAt  time.Time
-	hasFirstByte bool
-	silence      *time.Timer // ends the request
 }
 
 var (
@@ -37,19 +31,21 @@
 // continues after the last accepted event.
 func (s *sharedState) followFeed(ctx context.Context, addr string, cursor *feed.Cursor) {
 	client := &feedClient{sharedState: s, addr: addr, cursor: cursor}
+	client.follow(ctx)
+}
+
+// follow reads the command channel until the context ends.
+func (c *feedClient) follow(ctx context.Context) {
 	for failures := 0; ctx.Err() == nil; {
-		hasReceived, err := client.request(ctx)
+		hasReceived, err := c.readOnce(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		if hasReceived {
 			failures = 0
 		}
-		if errors.Is(err, errSilent) && !client.hasFirstByte {
-			client.limit.TimedOut()
-		}
-		s.log.Warn("command channel broken", "address", addr, "cursor", cursor.Last, "cause", fmt.Sprint(err),
-			"first_byte_limit", client.limit.Duration().String())
+		c.log.Warn("command channel broken", "address", c.addr, "cursor", c.cursor.Last, "cause", fmt.Sprint(err),
+			"first_byte_limit", c.limit.Duration().String())
 		select {
 		case <-ctx.Done():
 		case <-time.After(feed.Backoff(failures)):
@@ -58,36 +54,121 @@
 	}
 }
 
-// request makes one request to the command channel and handles its events until the connection ends, takes too long, or has
-// a gap in its events. hasReceived reports whether a new event was received.
-func (c *feedClient) request(ctx context.Context) (hasReceived bool, err error) {
+// readOnce requests the events and handles them until the connection ends, takes too long, or has a gap in its events.
+// hasReceived reports whether a new event was received.
+func (c *feedClient) readOnce(ctx context.Context) (hasReceived bool, err error) {
+	response, err := c.firstResponse(ctx)
+	if err != nil {
+		return false, err
+	}
+	defer response.close()
+	c.limit.Received(response.firstByteAfter)
+	return c.readEvents(response)
+}
+
+// requestResult is the outcome of one request.
+type requestResult struct {
+	number   int
+	response *feedResponse
+	err      error
+}
+
+// firstResponse requests the events, and again at intervals while no request has been answered, as a request made while the channel was
+// silent may never be. It returns the first response, or the last error once no request is left.
+func (c *feedClient) firstResponse(ctx context.Context) (*feedResponse, error) {
+	results := make(chan requestResult, feed.MaxRequests) // those that are left behind need no reader
+	waiting := map[int]context.CancelFunc{}
+	defer func() {
+		for _, cancel := range waiting {
+			cancel()
+		}
+	}()
+	again := time.NewTicker(feed.RepeatInterval)
+	defer again.Stop()
+	hasTimedOut := false
+	for next := 0; ; {
+		if len(waiting) == 0 {
+			waiting[next] = c.startRequest(ctx, next, results)
+			next++
+		}
+		select {
+		case <-again.C:
+			if next < feed.MaxRequests {
+				waiting[next] = c.startRequest(ctx, next, results)
+				next++
+			}
+		case result := <-results:
+			cancel := waiting[result.number]
+			delete(waiting, result.number)
+			if result.err == nil {
+				result.response.end = cancel
+				return result.response, nil
+			}
+			cancel()
+			if errors.Is(result.err, errSilent) && !hasTimedOut {
+				hasTimedOut = true
+				c.limit.TimedOut()
+			}
+			if len(waiting) == 0 {
+				return nil, result.err
+			}
+		}
+	}
+}
+
+// startRequest makes a request in a goroutine, which sends its result.
+func (c *feedClient) startRequest(ctx context.Context, number int, results chan<- requestResult) context.CancelFunc {
+	ctx, cancel := context.WithCancel(ctx)
+	last, limit := c.cursor.Last, c.limit.Duration()
+	go func() {
+		response, err := c.request(ctx, last, limit)
+		if err == nil && ctx.Err() != nil { // another request was answered first
+			response.close()
+		}
+		results <- requestResult{number, response, err}
+	}()
+	return cancel
+}
+
+// request asks for the events after the given one, and returns the response once its first byte has arrived. limit is the time for that.
+func (c *feedClient) request(ctx context.Context, last uint64, limit time.Duration) (response *feedResponse, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	c.hasFirstByte = false
-	c.silence = time.AfterFunc(feed.ConnectTimeout+c.limit.Duration(), func() { cancel(errSilent) })
-	defer c.silence.Stop()
+	silence := time.AfterFunc(feed.ConnectTimeout+limit, func() { cancel(errSilent) })
+	defer func() {
+		if err != nil {
+			silence.Stop()
+			err = causeOf(ctx, err)
+			cancel(nil)
+		}
+	}()
+	connectedAt := time.Now()
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
-		c.connectedAt = time.Now()
-		c.silence.Reset(c.limit.Duration())
+		connectedAt = time.Now()
+		silence.Reset(limit)
 	}})
 	req, err := http.NewRequestWithContext(traced, http.MethodGet, "http://"+c.addr+"/cmd/next", nil)
 	if err != nil {
-		return false, err
+		return nil, err
 	}
-	req.Header.Set("Last-Event-ID", strconv.FormatUint(c.cursor.Last, 10))
+	req.Header.Set("Last-Event-ID", strconv.FormatUint(last, 10))
 	req.Header.Set("Accept", "text/event-stream")
 	dialer := &net.Dialer{Timeout: feed.ConnectTimeout, KeepAlive: -1}
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dialer.DialContext}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return false, causeOf(ctx, err)
+		return nil, err
 	}
-	defer resp.Body.Close()
+	response = &feedResponse{ctx: ctx, cancel: cancel, body: resp.Body, silence: silence}
 	if resp.StatusCode != http.StatusOK {
-		return false, fmt.Errorf("GET /cmd/next: status must be 200, got %s", resp.Status)
+		resp.Body.Close()
+		return nil, fmt.Errorf("GET /cmd/next: status must be 200, got %s", resp.Status)
 	}
-	hasReceived, err = c.readEvents(resp.Body)
-	return hasReceived, causeOf(ctx, err)
+	if response.first, err = response.read(); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	response.firstByteAfter = time.Since(connectedAt)
+	return response, nil
 }
 
 // causeOf returns the cause of a canceled context, or else err.
@@ -99,28 +180,20 @@
 }
 
 // readEvents handles the events of a response until it ends, is silent for too long, or has a gap in its events.
-func (c *feedClient) readEvents(body io.Reader) (hasReceived bool, err error) {
+func (c *feedClient) readEvents(response *feedResponse) (hasReceived bool, err error) {
 	var stream feed.Stream
-	var buf [4096]byte
-	for {
-		n, err := body.Read(buf[:])
-		if n > 0 {
-			if !c.hasFirstByte {
-				c.hasFirstByte = true
-				c.limit.Received(time.Since(c.connectedAt))
-			}
-			c.silence.Reset(feed.SilenceTimeout)
-			isNew, hasGap, parseErr := c.handleBytes(&stream, buf[:n])
-			hasReceived = hasReceived || isNew
-			if parseErr != nil {
-				return hasReceived, parseErr
-			}
-			if hasGap {
-				return hasReceived, errGap
-			}
+	for data := response.first; ; {
+		isNew, hasGap, parseErr := c.handleBytes(&stream, data)
+		hasReceived = hasReceived || isNew
+		if parseErr != nil {
+			return hasReceived, parseErr
 		}
-		if err != nil {
-			return hasReceived, err
+		if hasGap {
+			return hasReceived, errGap
+		}
+		response.silence.Reset(feed.SilenceTimeout)
+		if data, err = response.read(); err != nil {
+			return hasReceived, causeOf(response.ctx, err)
 		}
 	}
 }
--- a/internal/edge/feedclient_test.go
+++ b/internal/edge/feedclient_test.go
@@ -53,3 +53,36 @@
 		following.Wait()
 	}
 }
+
+// TestChannelBackFromSilence guards against a change that is heard late, because the request that waits was made while the channel was
+// silent, and the limit for its first byte has grown in a long silence.
+func TestChannelBackFromSilence(t *testing.T) {
+	const toldAfter = 6 * time.Second // the users' term: since the channel had the change and could be reached
+	state := &sharedState{events: make(chan loopEvent), done: make(chan struct{}), startedAt: time.Now(),
+		log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	defer close(state.done)
+	channel, err := standin.NewFeed("node", standin.NewRecorder())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer channel.Close()
+	channel.SetFirstByteDelay(time.Minute)
+	client := &feedClient{sharedState: state, addr: channel.Addr(), cursor: &feed.Cursor{}}
+	for range 3 { // requests in the silence before
+		client.limit.TimedOut()
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var following sync.WaitGroup
+	following.Go(func() { client.follow(ctx) })
+	waitFor(t, "request in the silence", func() bool { return len(channel.RequestedCursors()) > 0 })
+	channel.SetFirstByteDelay(0)
+	channel.Publish(false, nil, standin.Member("s-0", "127.0.0.1:9", 0, "draining"))
+	select {
+	case event := <-state.events:
+		close(event.listApplied)
+	case <-time.After(toldAfter):
+		t.Errorf("the change was not heard within %v", toldAfter)
+	}
+	cancel()
+	following.Wait()
+}
