--- a/internal/edge/flood_test.go
+++ b/internal/edge/flood_test.go
@@ -24,8 +24,8 @@
 	unknownClassField = "X-Tier: no-such-class\r\nX-Deadline: 2000\r\nX-Attrs: dest:0;width:1;via:-1\r\n"
 )
 
-// TestFloodOnSockets guards against answers that come late to other clients while one client sends small requests at full speed, each with
-// an id of its own, and the node may use one core.
+// TestFloodOnSockets guards against answers that come late to other clients, and memory that grows, while one client sends small requests
+// at full speed, each with an id of its own, and the node may use one core.
 func TestFloodOnSockets(t *testing.T) {
 	for name, tc := range map[string]struct {
 		conns   int
@@ -39,6 +39,7 @@
 		t.Run(name, func(t *testing.T) {
 			env, stopServer := newOneCoreEnv(t)
 			defer stopServer()
+			memory := env.node.watchMemory()
 			var floods []*flood
 			for i := range tc.conns {
 				floods = append(floods, startFlood(env.nodeAddr, firstFloodID*(i+1), tc.request))
@@ -49,6 +50,7 @@
 				sent += flood.stop()
 			}
 			checkDelays(t, delays)
+			checkMemory(t, memory)
 			t.Logf("%d requests of the flooding client", sent)
 		})
 	}
--- a/internal/edge/memory_test.go
+++ b/internal/edge/memory_test.go
@@ -42,11 +42,7 @@
 			defer stop()
 			watch := env.node.watchMemory()
 			runAttack(env.nodeAddr, a)
-			peak := watch.peakMB()
-			t.Logf("peak of %d MB", peak)
-			if peak >= memoryLimitMB*raceMemoryFactor {
-				t.Errorf("the process had %d MB resident, its limit is %d MB", peak, memoryLimitMB)
-			}
+			checkMemory(t, watch)
 			delays := env.placeHonestCalls(honestInterval)
 			if delays[0] == noAnswer {
 				t.Error("after the attack a call got no answer")
@@ -55,6 +51,16 @@
 	}
 }
 
+// checkMemory checks that the process of a node with oneCoreLimits has stayed within its limit.
+func checkMemory(t *testing.T, watch *memoryWatch) {
+	t.Helper()
+	peak := watch.peakMB()
+	t.Logf("peak of %d MB", peak)
+	if peak >= memoryLimitMB*raceMemoryFactor {
+		t.Errorf("the process had %d MB resident, its limit is %d MB", peak, memoryLimitMB)
+	}
+}
+
 // runAttack lets many clients attack at once for a while. They come again when the node closes their connections.
 func runAttack(nodeAddr string, a attack) {
 	ctx, cancel := context.WithTimeout(context.Background(), attackTime)
