sip: addresses of a message without From, To and Via are not parsed

Need: with clients that connect and leave at full speed, 8 in 100 of a node's processor time went to errors about the empty From and To of the platform's dialect, which are then ignored.

Change: where bare messages are accepted, Via, From and To are not parsed.

Tests of internal/sip and of the edge's codec pass.

--- a/internal/sip/parse.go
+++ b/internal/sip/parse.go
@@ -234,12 +234,9 @@
 			return newParseError(400, m, "%d %s fields: must be exactly one", seen[i], name)
 		}
 	}
-	if _, err := ParseVia(m.Get("Via")); err != nil && !bare {
-		return newParseError(0, nil, "%v", err)
-	}
-	for _, name := range [...]string{"From", "To"} {
-		if _, err := ParseAddress(m.Get(name)); err != nil && !bare {
-			return newParseError(400, m, "%s: %v", name, err)
+	if !bare {
+		if err := m.checkAddresses(); err != nil {
+			return err
 		}
 	}
 	_, method, ok := m.CSeq()
@@ -256,6 +253,19 @@
 	return nil
 }
 
+// checkAddresses verifies that Via, From and To are well-formed.
+func (m *Message) checkAddresses() error {
+	if _, err := ParseVia(m.Get("Via")); err != nil {
+		return newParseError(0, nil, "%v", err)
+	}
+	for _, name := range [...]string{"From", "To"} {
+		if _, err := ParseAddress(m.Get(name)); err != nil {
+			return newParseError(400, m, "%s: %v", name, err)
+		}
+	}
+	return nil
+}
+
 // AsParseError returns the ParseError in err's chain and reports whether there is one.
 func AsParseError(err error) (*ParseError, bool) {
 	var p *ParseError
