standin: bad clients of the socket tests are stand-ins, and requests are written in one place

Need: the flooding client, the clients with large or unfinished requests, and the text of requests stood in test files, where other tests could not use them.

Change: moved to internal/edge/standin, with names and comments of a package.

--- a/internal/edge/flood_test.go
+++ b/internal/edge/flood_test.go
@@ -1,9 +1,6 @@
 package edge
 
 import (
-	"bytes"
-	"context"
-	"fmt"
 	"io"
 	"net"
 	"slices"
@@ -15,13 +12,11 @@
 )
 
 const (
-	answerAim         = 300 * time.Millisecond // promiseUs of the class in settingsText
-	floodTime         = 4 * time.Second
-	honestInterval    = 40 * time.Millisecond
-	floodRequests     = 64 // requests that a flooding client writes at once
-	firstFloodID      = 1 << 32
-	oneCoreLimits     = `{"cores":1,"memory_mb":32,"sockets":1024}`
-	unknownClassField = "X-Tier: no-such-class\r\nX-Deadline: 2000\r\nX-Attrs: dest:0;width:1;via:-1\r\n"
+	answerAim      = 300 * time.Millisecond // promiseUs of the class in settingsText
+	floodTime      = 4 * time.Second
+	honestInterval = 40 * time.Millisecond
+	firstFloodID   = 1 << 32
+	oneCoreLimits  = `{"cores":1,"memory_mb":32,"sockets":1024}`
 )
 
 // TestFloodOnSockets guards against answers that come late to other clients, and memory that grows, while one client sends small requests
@@ -31,7 +26,7 @@
 		conns   int
 		request func(n int) string
 	}{
-		"unknown class":             {1, func(n int) string { return formatRequest("INVITE", n, "x", unknownClassField) }},
+		"unknown class":             {1, standin.FormatUnknownClass},
 		"OPTIONS":                   {1, formatOptions},
 		"INVITE and CANCEL":         {1, func(n int) string { return formatInvite(n) + formatRequest("CANCEL", n, "") }},
 		"OPTIONS on 20 connections": {20, formatOptions},
@@ -40,14 +35,14 @@
 			env, stopServer := newOneCoreEnv(t)
 			defer stopServer()
 			memory := env.node.watchMemory()
-			var floods []*flood
+			var floods []*standin.Flood
 			for i := range tc.conns {
-				floods = append(floods, startFlood(env.nodeAddr, firstFloodID*(i+1), tc.request))
+				floods = append(floods, standin.StartFlood(env.nodeAddr, firstFloodID*(i+1), tc.request))
 			}
 			delays := env.placeHonestCalls(floodTime)
 			sent := int64(0)
 			for _, flood := range floods {
-				sent += flood.stop()
+				sent += flood.Stop()
 			}
 			checkDelays(t, delays)
 			checkMemory(t, memory)
@@ -120,66 +115,3 @@
 		t.Errorf("answers after %v (99th percentile), the last after %v; want %v at most, and each answered", high, last, answerAim)
 	}
 }
-
-// flood is a client that sends requests at full speed on one connection, and reads what it is sent. It connects again when the node closes
-// the connection.
-type flood struct {
-	nodeAddr string
-	cancel   context.CancelFunc
-	sent     chan int64 // the number of its requests, once it has ended
-}
-
-// startFlood starts a client that sends requests with numbers from first on.
-func startFlood(nodeAddr string, first int, request func(n int) string) *flood {
-	ctx, cancel := context.WithCancel(context.Background())
-	f := &flood{nodeAddr: nodeAddr, cancel: cancel, sent: make(chan int64, 1)}
-	go func() {
-		next := first
-		for ctx.Err() == nil {
-			next = f.fillConnection(ctx, next, request)
-		}
-		f.sent <- int64(next - first)
-	}()
-	return f
-}
-
-// fillConnection sends requests on a new connection until it ends, and returns the number of the next request.
-func (f *flood) fillConnection(ctx context.Context, next int, request func(n int) string) int {
-	conn, err := net.Dial("tcp", f.nodeAddr)
-	if err != nil {
-		return next
-	}
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	defer conn.Close()
-	go func() { _, _ = io.Copy(io.Discard, conn) }()
-	one := request(next)
-	batch := []byte(strings.Repeat(one, floodRequests))
-	for {
-		for i := range floodRequests {
-			setID(batch[i*len(one):(i+1)*len(one)], next+i)
-		}
-		if _, err := conn.Write(batch); err != nil {
-			return next
-		}
-		next += floodRequests
-	}
-}
-
-// stop stops the client and returns the number of its requests.
-func (f *flood) stop() (sent int64) {
-	f.cancel()
-	return <-f.sent
-}
-
-// setID replaces the id in all messages of a text, which has the form of formatRequest.
-func setID(text []byte, n int) {
-	const field = "Call-ID: "
-	for {
-		at := bytes.Index(text, []byte(field))
-		if at < 0 {
-			return
-		}
-		text = text[at+len(field):]
-		copy(text, fmt.Sprintf("%016x", n))
-	}
-}
--- a/internal/edge/leaver_test.go
+++ b/internal/edge/leaver_test.go
@@ -47,8 +47,8 @@
 			}
 			server.SetWork(slowAnswer)
 			if tc.hasFlood {
-				flood := startFlood(env.nodeAddr, firstFloodID, func(n int) string { return formatInvite(n) + formatRequest("CANCEL", n, "") })
-				defer flood.stop()
+				flood := standin.StartFlood(env.nodeAddr, firstFloodID, func(n int) string { return formatInvite(n) + formatRequest("CANCEL", n, "") })
+				defer flood.Stop()
 			}
 			left := env.leaveAndReturn(tc.isReset)
 			time.Sleep(2 * sentOnSlack)
--- a/internal/edge/races_test.go
+++ b/internal/edge/races_test.go
@@ -161,14 +161,10 @@
 }
 
 func formatRequest(method string, n int, body string, fields ...string) string {
-	return fmt.Sprintf("%s sip:7f3a9c21e0b4d655@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: %016x\r\nCSeq: 1 %s\r\n%s"+
-		"Content-Length: %d\r\n\r\n%s", method, n, method, strings.Join(fields, ""), len(body), body)
+	return standin.FormatRequest(method, n, body, fields...)
 }
 
-func formatInvite(n int) string {
-	return formatRequest("INVITE", n, "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\n", "X-Tier: voice\r\nX-Deadline: 2000\r\n"+
-		"X-Attrs: dest:0;width:1;via:-1\r\n")
-}
+func formatInvite(n int) string { return standin.FormatInvite(n) }
 
 func formatOptions(n int) string { return formatRequest("OPTIONS", n, "") }
 
