edge: a connection whose reader has ended no longer counts as open

What callers saw: TestReplacedProcessOnSockets, case 'stalled node', on two busy cores: one of 79 and one of 80 calls of the old process was never released (twice in about ten runs). The log said: moved, answered 46 ms after the listed start, on a connection opened 213 ms before it.

Cause: the event loop asks the kernel whether a connection's peer has closed it, before it sends a set-up of a caller and when a process has been replaced. The reader closes its socket as soon as it has read the end, before the loop is told. The question then failed, and the answer was 'open', on the wrong belief that the loop knows of every close on this side. After a stall the loop handles the list first, so the call moved to the new process. The same belief let a set-up go out for a client whose end was already read.

Change: a question that fails means closed, as only the reader can have closed a connection that the loop still has.

Result: TestClosedByPeer fails before and passes now.

--- a/internal/edge/socket.go
+++ b/internal/edge/socket.go
@@ -73,7 +73,7 @@
 }
 
 // hasPeerClosed reports whether the peer has closed the connection, with a FIN or a reset, even if unread bytes
-// are buffered.
+// are buffered. The event loop, which has not closed the connection, asks.
 func (s *socket) hasPeerClosed() bool {
 	var isClosed bool
 	err := s.raw.Control(func(fd uintptr) {
@@ -81,7 +81,7 @@
 		n, err := unix.Poll(fds, 0)
 		isClosed = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	})
-	return err == nil && isClosed // if the connection is closed on this side, the node already knows
+	return isClosed || err != nil // an error: the reader has closed it at its end, and its event is on the way
 }
 
 // hasUnreadInput reports whether bytes have arrived that the loop has not handled.
--- a/internal/edge/socket_test.go
+++ b/internal/edge/socket_test.go
@@ -45,6 +45,29 @@
 	waitFor(t, "the end of the connection", func() bool { return !loop.hasUnreadInput(1) })
 }
 
+// TestClosedByPeer guards against a connection that counts as open although its peer has closed it: its reader has ended, and the event
+// loop has not been told yet.
+func TestClosedByPeer(t *testing.T) {
+	server := newScriptedServer(t)
+	client, err := net.Dial("tcp", server.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	state := &sharedState{events: make(chan loopEvent, 1), done: make(chan struct{}), backlogGate: newBacklogGate()}
+	loop := &eventLoop{sharedState: state, sockets: map[access.ConnID]*socket{}}
+	sock := loop.startSocket(1, server.acceptTrunk().TCPConn, true)
+	if sock == nil || loop.hasPeerClosed(1) {
+		t.Fatal("an open connection counts as closed by its peer")
+	}
+	client.Close()
+	waitFor(t, "the end of the connection", func() bool { return loop.hasPeerClosed(1) })
+	waitFor(t, "the end of the reader", func() bool { return state.socketCount.Load() < 0 })
+	if !loop.hasPeerClosed(1) {
+		t.Error("the connection counts as open once its reader has ended")
+	}
+}
+
 // TestSlowMessageOnSockets guards against a call server that is taken for silent while one long message arrives slowly: the node
 // opens no connection to look whether it is alive.
 func TestSlowMessageOnSockets(t *testing.T) {
