edge: a call whose connection was reset goes by another one of the same process

What callers saw: with connections that are reset often, calls that stood at the new process were ended at both ends when the list told the replacement.

Cause: once the connection of a call has ended, nothing told at which process the call stands.

Change: connections that were open at the same time were accepted by the same process, as a death ends all of them. When one ends, its calls go by another one that was open already while bytes arrived on the ended one, and end with that one. A connection that only looks open does not count: the bytes show that the process lived after the other one had opened.

Result: TestReplacedProcessOtherTrunk fails without the change.

--- a/internal/edge/access/replacement.go
+++ b/internal/edge/access/replacement.go
@@ -13,7 +13,7 @@
 // address: the next process may listen there under the same id or another one.
 //
 // Which of the two processes a call stands at is told by the trunk on which it was answered. A trunk was accepted by one process, and
-// the death of that process ends it. The start in the list cannot tell, because it is a time of another clock and need not be the
+// the death of that process ends it. Trunks that were open at the same time were accepted by the same process. The start in the list cannot tell, because it is a time of another clock and need not be the
 // moment at which the old process died: answers may cross it.
 
 // startTolerance is how far the listed start of a process may lie from the moment at which it accepts connections, both ways.
@@ -49,7 +49,8 @@
 	return found
 }
 
-// fateOf returns the fate of a call that a server has answered, when another process is listed with the given start.
+// fateOf returns the fate of a call that a server has answered, when another process is listed with the given start. The trunk of the
+// call may be another one than that on which it was answered; see reassignTrunk.
 func (n *Node) fateOf(call *callState, start time.Duration) fate {
 	t := n.trunks[call.trunk]
 	isOpen := t != nil && t.isOpen && !n.hasPeerClosed(t.id)
@@ -67,6 +68,22 @@
 	return t.openedAt >= start-startTolerance || t.lastReceived >= start+startTolerance
 }
 
+// reassignTrunk assigns the calls of a trunk that has ended to another one that was accepted by the same process: it was open already
+// while bytes arrived on the ended one. The calls then end with that one.
+func (n *Node) reassignTrunk(ended *trunkConn) {
+	for _, t := range ended.server.trunks {
+		if !t.isOpen || t.openedAt >= ended.lastReceived || n.hasPeerClosed(t.id) {
+			continue
+		}
+		for call := range ended.server.standing {
+			if call.trunk == ended.id {
+				call.trunk = t.id
+			}
+		}
+		return
+	}
+}
+
 // fateOfNamed returns the fate of a call that is known only because its caller has named it, when its server is listed with a new
 // start. The call stood before it was named, and it may have ended with any process before that.
 func (n *Node) fateOfNamed(call *callState, start time.Duration) fate {
--- a/internal/edge/access/replacement_test.go
+++ b/internal/edge/access/replacement_test.go
@@ -58,3 +58,13 @@
 	isReset = true
 	s.run(`list s-2@s-1 up 3200ms; a want BYE/1`)
 }
+
+// TestReplacedProcessOtherTrunk guards against a call that is ended although it stands at the new process: its connection was reset, and
+// another one shows that the process lives on. A call of the old process ends with the other connection.
+func TestReplacedProcessOtherTrunk(t *testing.T) {
+	const twoTrunks = `wait 3s; s-1 reset; wait 200ms; a try 1; a try 2; wait 150ms; s-1 answer 1; s-1 answer 2; a want 200/1 200/2; `
+	runScripts(t, testConfig(), map[string]string{
+		"call of the new process": twoTrunks + `s-1 drop; wait 50ms; list s-2@s-1 up 3200ms; a want; s-1 release 1; a want BYE/1`,
+		"call of the old process": twoTrunks + `s-1 drop; wait 2s; s-1 reset; wait 400ms; list s-2@s-1 up 5400ms; a want BYE/1 BYE/2`,
+	})
+}
--- a/internal/edge/access/script_test.go
+++ b/internal/edge/access/script_test.go
@@ -24,6 +24,7 @@
 //	s-1 answer N | release N        release: on the trunk that opened last
 //	SERVER want TYPE/N/CAUSE ...
 //	s-1 reset | refuse | accept     resets the trunks to the address; how it takes new ones
+//	s-1 drop                        resets the oldest trunk to the address
 type scriptRun struct {
 	*harness
 	started time.Duration
@@ -101,6 +102,11 @@
 		}
 	case "release":
 		s.sendFromServer(s.trunks[addr][len(s.trunks[addr])-1], trunk.TypeRelease, number, causeParam(trunk.CauseNormal))
+	case "drop":
+		oldest := s.trunks[addr][0]
+		s.trunks[addr] = s.trunks[addr][1:]
+		s.node.TrunkClosed(s.now, oldest, "reset")
+		s.execute()
 	case "reset":
 		trunks := s.trunks[addr]
 		s.trunks[addr] = nil
--- a/internal/edge/access/trunks.go
+++ b/internal/edge/access/trunks.go
@@ -53,6 +53,7 @@
 	srv.trunks = slices.DeleteFunc(srv.trunks, func(other *trunkConn) bool { return other == t })
 	if t.isOpen {
 		srv.reachability.ConnClosed(n.now)
+		n.reassignTrunk(t)
 	}
 	for _, att := range attemptsInCallOrder(t.pending) {
 		n.endAttempt(att, larkrouter.AttemptResult{Outcome: larkrouter.Reset})
