edge: a release for a call server is not written on a connection that was reset

A call that its caller had released could stand at its call server for good.

Cause: the release was written on the connection of the call although that had been reset and the node had not read it yet. The release was lost, and no other followed. A call that is ended at both ends, because its process may have been replaced, met the same.

Change: a release goes only to a connection that is open also as the kernel sees it; without one it waits for the next.

Result: TestReleaseAfterUnreadReset fails before and passes now, as do all scripts.

--- a/internal/edge/access/calls.go
+++ b/internal/edge/access/calls.go
@@ -235,7 +235,7 @@
 	c.Proven = true
 	n.offerReleases(c)
 	call.server = srv
-	if t := srv.openTrunk(); t != nil {
+	if t := n.openTrunk(srv); t != nil {
 		call.trunk, call.trunkOpenedAt = t.id, t.openedAt
 	}
 	n.callsByID[call.id], n.callsByNumber[call.number] = call, call
--- a/internal/edge/access/replacement.go
+++ b/internal/edge/access/replacement.go
@@ -53,7 +53,7 @@
 // call may be another one than that on which it was answered; see reassignTrunk.
 func (n *Node) fateOf(call *callState, start time.Duration) fate {
 	t := n.trunks[call.trunk]
-	isOpen := t != nil && t.isOpen && !n.hasPeerClosed(t.id)
+	isOpen := t != nil && n.canRead(t)
 	switch {
 	case isOpen && t.isOfProcess(start):
 		return fateContinues
@@ -72,7 +72,7 @@
 // while bytes arrived on the ended one. The calls then end with that one.
 func (n *Node) reassignTrunk(ended *trunkConn) {
 	for _, t := range ended.server.trunks {
-		if !t.isOpen || t.openedAt >= ended.lastReceived || n.hasPeerClosed(t.id) {
+		if t.openedAt >= ended.lastReceived || !n.canRead(t) {
 			continue
 		}
 		for call := range ended.server.standing {
@@ -89,7 +89,7 @@
 func (n *Node) fateOfNamed(call *callState, start time.Duration) fate {
 	named := call.standingSince
 	t := n.trunks[call.trunk]
-	hasTrunkEnded := call.trunk != 0 && (t == nil || !t.isOpen || n.hasPeerClosed(t.id))
+	hasTrunkEnded := call.trunk != 0 && (t == nil || !n.canRead(t))
 	switch {
 	case named < start, hasTrunkEnded && call.trunkOpenedAt < start-startTolerance:
 		return fateEnded
--- a/internal/edge/access/replacement_test.go
+++ b/internal/edge/access/replacement_test.go
@@ -59,6 +59,19 @@
 	s.run(`list s-2@s-1 up 3200ms; a want BYE/1`)
 }
 
+// TestReleaseAfterUnreadReset guards against a call that stands at its server for good: its caller releases it after the connection to the
+// server was reset, and before the node has read that.
+func TestReleaseAfterUnreadReset(t *testing.T) {
+	var isReset bool
+	cfg := testConfig()
+	cfg.HasPeerClosed = func(ConnID) bool { return isReset }
+	s := runScript(t, cfg, `a call 1; s-1 want`)
+	isReset = true
+	s.run(`a bye 1; a want 200/1; s-1 want`)
+	isReset = false
+	s.run(`s-1 reset; wait 200ms; s-1 want 12/1/16`)
+}
+
 // TestReplacedProcessOtherTrunk guards against a call that is ended although it stands at the new process: its connection was reset, and
 // another one shows that the process lives on. A call of the old process ends with the other connection.
 func TestReplacedProcessOtherTrunk(t *testing.T) {
--- a/internal/edge/access/servers.go
+++ b/internal/edge/access/servers.go
@@ -45,16 +45,6 @@
 	return calls
 }
 
-// openTrunk returns an open trunk to the server, or nil.
-func (s *server) openTrunk() *trunkConn {
-	for _, t := range s.trunks {
-		if t.isOpen {
-			return t
-		}
-	}
-	return nil
-}
-
 // keepRelease keeps the release of a call that is about to be removed until a trunk to its server opens. Calls that the server has
 // answered are as many as it could hold. An adopted one still counts towards the limit on adopted calls, because it may not exist.
 func (s *server) keepRelease(call *callState) { s.awaitingRelease[call] = struct{}{} }
--- a/internal/edge/access/trunks.go
+++ b/internal/edge/access/trunks.go
@@ -248,13 +248,26 @@
 	return data
 }
 
+// canRead reports whether the server at the other end of a trunk can read what is written now.
+func (n *Node) canRead(t *trunkConn) bool { return t.isOpen && !n.hasPeerClosed(t.id) }
+
+// openTrunk returns an open trunk to a server, or nil.
+func (n *Node) openTrunk(srv *server) *trunkConn {
+	for _, t := range srv.trunks {
+		if n.canRead(t) {
+			return t
+		}
+	}
+	return nil
+}
+
 // releaseAtServer releases a standing call at its server: on the trunk that carried its set-up, otherwise on
 // any open trunk. If there is none, the release waits for the next trunk that opens.
 func (n *Node) releaseAtServer(call *callState, cause byte) {
 	srv := call.server
 	t := n.trunks[call.trunk]
-	if t == nil || !t.isOpen || t.server != srv {
-		t = srv.openTrunk()
+	if t == nil || t.server != srv || !n.canRead(t) {
+		t = n.openTrunk(srv)
 	}
 	if t == nil {
 		srv.keepRelease(call)
