--- a/internal/edge/access/caller_releases.go
+++ b/internal/edge/access/caller_releases.go
@@ -202,7 +202,8 @@
 			return false
 		}
 		n.Totals.ReleasesExpired++
-		n.log(LogEntry{Event: "release expired", Call: rel.callID, Cause: fmt.Sprintf("no client known to handle calls came within %v", n.sinceWritten(rel))})
+		n.log(LogEntry{Event: "release expired", Call: rel.callID,
+			Cause: fmt.Sprintf("no client known to handle calls came within %v", n.sinceWritten(rel))})
 		return true
 	})
 	conns := slices.Sorted(maps.Keys(n.callerConns))
--- a/internal/edge/access/node_test.go
+++ b/internal/edge/access/node_test.go
@@ -438,7 +438,8 @@
 	}
 	h.advance(70 * time.Second)
 	node := h.node
-	if len(node.callsByID)+len(node.callsByNumber)+len(node.callerConns)+len(node.endedIDs.byID)+len(node.endedIDs.oldestFirst)+len(node.endedIDs.byConn)+
+	if len(node.callsByID)+len(node.callsByNumber)+len(node.callerConns)+len(node.endedIDs.byID)+len(node.endedIDs.oldestFirst)+
+		len(node.endedIDs.byConn)+
 		len(node.unknownReleases.byID)+len(node.unknownReleases.oldestFirst)+node.pendingReleases.len()+
 		len(node.pendingReleases.answered.all)+len(node.pendingReleases.answered.unreached) != 0 ||
 		len(node.servers) != 1 || len(node.serversByNumber) != 1 || len(node.serverOrder) != 1 || len(node.trunks) > 2 ||
--- a/internal/edge/access/replacement.go
+++ b/internal/edge/access/replacement.go
@@ -13,8 +13,8 @@
 // address: the next process may listen there under the same id or another one.
 //
 // Which of the two processes a call stands at is told by the trunk on which it was answered. A trunk was accepted by one process, and
-// the death of that process ends it. Trunks that were open at the same time were accepted by the same process. The start in the list cannot tell, because it is a time of another clock and need not be the
-// moment at which the old process died: answers may cross it.
+// the death of that process ends it. Trunks that were open at the same time were accepted by the same process. The start in the list
+// cannot tell, because it is a time of another clock and need not be the moment at which the old process died: answers may cross it.
 
 // startTolerance is how far the listed start of a process may lie from the moment at which it accepts connections, both ways.
 const startTolerance = 500 * time.Millisecond
@@ -204,5 +204,6 @@
 func (n *Node) logFate(event string, call *callState, successor *server) {
 	start := successor.info.Started
 	n.log(LogEntry{Event: event, Server: successor.id, Call: call.id,
-		Cause: fmt.Sprintf("answered %v after the listed start, on a connection opened %v after it", call.standingSince-start, call.trunkOpenedAt-start)})
+		Cause: fmt.Sprintf("answered %v after the listed start, on a connection opened %v after it",
+			call.standingSince-start, call.trunkOpenedAt-start)})
 }
--- a/internal/edge/scenario/callers.go
+++ b/internal/edge/scenario/callers.go
@@ -189,7 +189,8 @@
 	}
 }
 
-// linkClosed implements peer. A set-up that crosses the close is sent once more, and a call that was named again; others on the connection are lost.
+// linkClosed implements peer. A set-up that crosses the close is sent once more, and a call that was named again; others on the
+// connection are lost.
 func (conn *callerConn) linkClosed(_ *link) {
 	cs := conn.callers
 	cs.forgetConn(conn)
--- a/internal/edge/scenario/scenario.go
+++ b/internal/edge/scenario/scenario.go
@@ -95,8 +95,9 @@
 
 // newWorld returns a world with call servers that have been up for long, a node, and callers that place calls.
 func newWorld(seed uint64) *world {
-	w := &world{maxAdoptedCalls: maxAdoptedCalls, rng: rand.New(rand.NewPCG(seed, 1)), now: worldStart, processes: map[netip.AddrPort]*callServer{},
-		standing: rules.NewStandingChecker(), rules: rules.NewChecker(rules.Parameters{AnswerSlack: answerTolerance, ReleaseGuard: releaseGuard,
+	w := &world{maxAdoptedCalls: maxAdoptedCalls, rng: rand.New(rand.NewPCG(seed, 1)), now: worldStart,
+		processes: map[netip.AddrPort]*callServer{},
+		standing:  rules.NewStandingChecker(), rules: rules.NewChecker(rules.Parameters{AnswerSlack: answerTolerance, ReleaseGuard: releaseGuard,
 			DrainGrace: drainGrace, TryTimeouts: []rules.TryTimeout{{Prefix: "", Wait: callDeadline}}, Slack: 20 * time.Millisecond})}
 	clocks := rand.New(rand.NewPCG(seed, 2)) // apart from w.rng, so that all else in a scenario stays as it was without it
 	w.channel = &channel{w: w, members: map[string]string{},
