edge: when a reader pauses is decided in admission; tests are merged

Need: the number of reads before a pause and its length are decisions and stood in the shell.

Change: admission.Backlog has both figures, the shell only waits. TestStreamMaxMessage covers the limit and the count of held bytes. The tests of a reset that is unread, of feed clients and of sockets share their frames; timing a call is a stand-in's work.

--- a/internal/edge/access/replacement_test.go
+++ b/internal/edge/access/replacement_test.go
@@ -48,28 +48,25 @@
 	})
 }
 
-// TestReplacedProcessResetUnread guards against a call that moves to a new process although its connection was reset: the node has been
-// stalled, and reads the list before the reset.
-func TestReplacedProcessResetUnread(t *testing.T) {
+// TestResetUnread guards against a call that moves to a new process, or whose release for its server is lost, because its connection was
+// reset and the node, which was stalled, has not read that.
+func TestResetUnread(t *testing.T) {
 	var isReset bool
 	cfg := testConfig()
 	cfg.HasPeerClosed = func(ConnID) bool { return isReset }
-	s := runScript(t, cfg, `wait 3s; s-1 reset; wait 200ms; a call 1; wait 100ms`)
-	isReset = true
-	s.run(`list s-2@s-1 up 3200ms; a want BYE/1`)
-}
-
-// TestReleaseAfterUnreadReset guards against a call that stands at its server for good: its caller releases it after the connection to the
-// server was reset, and before the node has read that.
-func TestReleaseAfterUnreadReset(t *testing.T) {
-	var isReset bool
-	cfg := testConfig()
-	cfg.HasPeerClosed = func(ConnID) bool { return isReset }
-	s := runScript(t, cfg, `a call 1; s-1 want`)
-	isReset = true
-	s.run(`a bye 1; a want 200/1; s-1 want`)
-	isReset = false
-	s.run(`s-1 reset; wait 200ms; s-1 want 12/1/16`)
+	for name, parts := range map[string][3]string{ // before the reset, while it is unread, and after it is read
+		"the list tells a replacement": {`wait 3s; s-1 reset; wait 200ms; a call 1; wait 100ms`, `list s-2@s-1 up 3200ms; a want BYE/1`, ``},
+		"the caller releases its call": {`a call 1; s-1 want`, `a bye 1; a want 200/1; s-1 want`, `s-1 reset; wait 200ms; s-1 want 12/1/16`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			isReset = false
+			s := runScript(t, cfg, parts[0])
+			isReset = true
+			s.run(parts[1])
+			isReset = false
+			s.run(parts[2])
+		})
+	}
 }
 
 // TestReplacedProcessOtherTrunk guards against a call that is ended although it stands at the new process: its connection was reset, and
--- a/internal/edge/feedclient_test.go
+++ b/internal/edge/feedclient_test.go
@@ -12,13 +12,19 @@
 	"larkrouter/internal/edge/standin"
 )
 
+// newFeedState returns what a client of the command channel needs of the event loop.
+func newFeedState(t *testing.T) *sharedState {
+	state := &sharedState{events: make(chan loopEvent), done: make(chan struct{}), startedAt: time.Now(),
+		log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	t.Cleanup(func() { close(state.done) })
+	return state
+}
+
 // TestSlowCommandChannel guards against a channel that is never heard because its first byte needs longer than the first request
 // waits: its events arrive, and so do those of another slow channel that a reload has moved to while a request waits.
 func TestSlowCommandChannel(t *testing.T) {
 	const firstByteDelay = 2300 * time.Millisecond
-	state := &sharedState{events: make(chan loopEvent), done: make(chan struct{}), startedAt: time.Now(),
-		log: slog.New(slog.NewTextHandler(io.Discard, nil))}
-	defer close(state.done)
+	state := newFeedState(t)
 	cursor, channel := &feed.Cursor{}, (*standin.Feed)(nil)
 	publishAndExpect := func(phase string, limit time.Duration) {
 		t.Helper()
@@ -58,9 +64,7 @@
 // silent, and the limit for its first byte has grown in a long silence.
 func TestChannelBackFromSilence(t *testing.T) {
 	const toldAfter = 6 * time.Second // the users' term: since the channel had the change and could be reached
-	state := &sharedState{events: make(chan loopEvent), done: make(chan struct{}), startedAt: time.Now(),
-		log: slog.New(slog.NewTextHandler(io.Discard, nil))}
-	defer close(state.done)
+	state := newFeedState(t)
 	channel, err := standin.NewFeed("node", standin.NewRecorder())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/edge/flood_test.go
+++ b/internal/edge/flood_test.go
@@ -1,10 +1,7 @@
 package edge
 
 import (
-	"io"
-	"net"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -73,7 +70,7 @@
 	results := make(chan time.Duration)
 	count := int(d / honestInterval)
 	for n := range count {
-		go func() { results <- env.placeHonestCall(n + 1) }()
+		go func() { results <- standin.TimeCall(env.nodeAddr, n+1) }()
 		time.Sleep(honestInterval)
 	}
 	for range count {
@@ -83,35 +80,12 @@
 	return delays
 }
 
-// noAnswer stands for the delay of a call without an answer.
-const noAnswer = time.Hour
-
-// placeHonestCall places a call on a new connection and returns how long its answer took.
-func (env *testEnv) placeHonestCall(n int) time.Duration {
-	started := time.Now()
-	conn, err := net.Dial("tcp", env.nodeAddr)
-	if err != nil {
-		return noAnswer
-	}
-	defer conn.Close()
-	_ = conn.SetDeadline(started.Add(10 * time.Second))
-	if _, err := io.WriteString(conn, formatInvite(n)); err != nil {
-		return noAnswer
-	}
-	var buf [64]byte
-	read, err := conn.Read(buf[:])
-	if err != nil || !strings.HasPrefix(string(buf[:read]), "SIP/2.0 ") {
-		return noAnswer
-	}
-	return time.Since(started)
-}
-
 // checkDelays checks that 99 in 100 answers came within the aim of their class, and that none is missing.
 func checkDelays(t *testing.T, delays []time.Duration) {
 	t.Helper()
 	median, high, last := delays[len(delays)/2], delays[len(delays)*99/100-1], delays[len(delays)-1]
 	t.Logf("%d calls: median %v, 99th percentile %v, last %v", len(delays), median, high, last)
-	if high > answerAim*raceFactor || last == noAnswer {
+	if high > answerAim*raceFactor || last == standin.NoAnswer {
 		t.Errorf("answers after %v (99th percentile), the last after %v; want %v at most, and each answered", high, last, answerAim)
 	}
 }
--- a/internal/edge/memory_test.go
+++ b/internal/edge/memory_test.go
@@ -30,7 +30,7 @@
 			a.Run(env.nodeAddr, manyClients, attackTime)
 			checkMemory(t, watch)
 			delays := env.placeHonestCalls(honestInterval)
-			if delays[0] == noAnswer {
+			if delays[0] == standin.NoAnswer {
 				t.Error("after the attack a call got no answer")
 			}
 		})
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"larkrouter/internal/edge/admission"
 	"larkrouter/internal/edge/caller"
 	"larkrouter/internal/edge/trunk"
 	"larkrouter/internal/sip"
@@ -24,7 +25,7 @@
 	state        *sharedState
 	callerStream sip.Stream
 	trunkStream  trunk.Stream
-	backlog      backlog // of its input
+	backlog      admission.Backlog // of its input
 }
 
 // read reads from a connection until it ends.
@@ -43,8 +44,8 @@
 		if s.isClosed.Load() {
 			break
 		}
-		r.backlog.observe(s.isReadable())
-		if r.backlog.isPersistent() && !state.backlogGate.wait(state.done) {
+		r.backlog.Observe(s.isReadable())
+		if r.backlog.IsPersistent() && !state.backlogGate.wait(state.done) {
 			return
 		}
 	}
--- a/internal/edge/socket_test.go
+++ b/internal/edge/socket_test.go
@@ -21,19 +21,21 @@
 	}
 }
 
-// TestUnreadInput guards against a connection that is evicted although its request has arrived, and one that is spared because its
-// client has closed it.
-func TestUnreadInput(t *testing.T) {
+// connectedPair returns the two ends of a connection.
+func connectedPair(t *testing.T) (client net.Conn, accepted *net.TCPConn) {
+	t.Helper()
 	server := newScriptedServer(t)
 	client, err := net.Dial("tcp", server.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	conn, err := server.AcceptTCP()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
+	return client, server.acceptTrunk().TCPConn
+}
+
+// TestUnreadInput guards against a connection that is evicted although its request has arrived, and one that is spared because its
+// client has closed it.
+func TestUnreadInput(t *testing.T) {
+	client, conn := connectedPair(t)
 	sock, err := newSocket(1, conn, false)
 	loop := &eventLoop{sockets: map[access.ConnID]*socket{1: sock}}
 	if err != nil || loop.hasUnreadInput(1) {
@@ -48,15 +50,10 @@
 // TestClosedByPeer guards against a connection that counts as open although its peer has closed it: its reader has ended, and the event
 // loop has not been told yet.
 func TestClosedByPeer(t *testing.T) {
-	server := newScriptedServer(t)
-	client, err := net.Dial("tcp", server.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
+	client, conn := connectedPair(t)
 	state := &sharedState{events: make(chan loopEvent, 1), done: make(chan struct{}), backlogGate: newBacklogGate()}
 	loop := &eventLoop{sharedState: state, sockets: map[access.ConnID]*socket{}}
-	sock := loop.startSocket(1, server.acceptTrunk().TCPConn, true)
+	sock := loop.startSocket(1, conn, true)
 	if sock == nil || loop.hasPeerClosed(1) {
 		t.Fatal("an open connection counts as closed by its peer")
 	}
--- a/internal/sip/message_test.go
+++ b/internal/sip/message_test.go
@@ -195,6 +195,19 @@
 	})
 }
 
+// TestStreamMaxMessage guards against messages longer than the protocol allows, and counts the bytes held of an incomplete one.
+func TestStreamMaxMessage(t *testing.T) {
+	const text = "OPTIONS sip:a@b SIP/2.0\r\nCall-ID: 1\r\nCSeq: 1 OPTIONS\r\nContent-Length: 29\r\n\r\n"
+	for limit, isAccepted := range map[int]bool{len(text) + 29: true, len(text) + 28: false} {
+		s := Stream{Limits: Limits{MaxMessage: limit, AllowBare: true}}
+		s.Feed([]byte(text + "body"))
+		_, err := s.Next()
+		if (err == nil) != isAccepted || isAccepted && s.Held() != len(text)+4 {
+			t.Errorf("limit %d: error %v, %d bytes held; want accepted %v, %d", limit, err, s.Held(), isAccepted, len(text)+4)
+		}
+	}
+}
+
 // TestStreamBroken checks that nothing is parsed after a framing error, since the start of the next message is unknown.
 func TestStreamBroken(t *testing.T) {
 	s := Stream{Limits: Limits{MaxLine: 256}}
