--- a/review/peers-2/callers.go
+++ b/review/peers-2/callers.go
@@ -83,24 +83,6 @@
 	return cl
 }
 
-// bye releases a call that stands, on the caller's present connection.
-func (c *caller) bye(cl *call) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.w.logf("%s: release of %016x", c.name, cl.id)
-	fmt.Fprintf(c.conn, "BYE sip:%s@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: %016x\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=16\r\n"+
-		"Content-Length: 0\r\n\r\n", cl.number, cl.id)
-}
-
-// name names a call that stands at a call server, on the caller's present connection.
-func (c *caller) nameCall(cl *call, class, server string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.w.logf("%s: names %016x at %s", c.name, cl.id, server)
-	fmt.Fprintf(c.conn, "INVITE sip:%s@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: %016x\r\nCSeq: 1 INVITE\r\nX-Tier: %s\r\n"+
-		"X-Attrs: at:%s\r\nContent-Length: 0\r\n\r\n", cl.number, cl.id, class, server)
-}
-
 func (c *caller) read(conn net.Conn) {
 	in := bufio.NewReader(conn)
 	for {
--- a/review/peers-2/callserver.go
+++ b/review/peers-2/callserver.go
@@ -41,10 +41,8 @@
 	mu            sync.Mutex
 	listener      net.Listener
 	conns         map[net.Conn]bool
-	forgotten     map[net.Conn]bool                                         // the next message on it gets a reset
-	isDead        map[net.Conn]bool                                         // an answer on it has stopped short: nothing more arrives from it
-	willStopShort bool                                                      // with the next answer
-	onSetUp       func(conn net.Conn, pending map[uint64]*setUp, su *setUp) // in place of the usual answer; holds the lock
+	isDead        map[net.Conn]bool // an answer on it has stopped short: nothing more arrives from it
+	willStopShort bool              // with the next answer
 	setUps        []*setUp
 	releases      [][]byte // of calls that have ended: sent on the next connection too
 	isHung        bool
@@ -53,7 +51,7 @@
 
 func (w *world) newCallServer(id string, cell int, hold time.Duration) *callServer {
 	s := &callServer{w: w, id: id, addr: "127.0.0.1:0", cell: cell, work: 10 * time.Millisecond, hold: hold,
-		conns: map[net.Conn]bool{}, forgotten: map[net.Conn]bool{}, isDead: map[net.Conn]bool{}}
+		conns: map[net.Conn]bool{}, isDead: map[net.Conn]bool{}}
 	s.listen()
 	s.addr = s.listener.Addr().String()
 	return s
@@ -165,11 +163,6 @@
 		if err != nil {
 			break
 		}
-		if s.hasForgotten(conn) {
-			s.w.logf("%s: resets the connection from %s, on which a message of type %d has come", s.id, conn.RemoteAddr(), payload[0])
-			_ = conn.(*net.TCPConn).SetLinger(0)
-			break
-		}
 		s.handle(conn, pending, payload)
 	}
 	conn.Close()
@@ -205,10 +198,6 @@
 		s.setUps = append(s.setUps, su)
 		pending[call] = su
 		s.w.logf("%s: set-up of %016x, number %s, class %s, waits %s ms", s.id, call, su.number, params[1], params[3])
-		if s.onSetUp != nil {
-			s.onSetUp(conn, pending, su)
-			return
-		}
 		time.AfterFunc(s.work, func() { s.answer(conn, pending, su) })
 	case typeRelease:
 		s.w.logf("%s: release of %016x, cause %v", s.id, call, params[29])
@@ -298,20 +287,3 @@
 	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"zone-1","flavor":"standard-1core","cell":%d,"phase":%q,"size":1,"up_since_ms":0}`,
 		s.id, s.addr, s.cell, phase)
 }
-
-// forgetConnections makes the server forget the connections that are open. It says nothing, and resets one when bytes come on it.
-func (s *callServer) forgetConnections() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for conn := range s.conns {
-		s.w.logf("%s: forgets the connection from %s", s.id, conn.RemoteAddr())
-		delete(s.conns, conn)
-		s.forgotten[conn] = true
-	}
-}
-
-func (s *callServer) hasForgotten(conn net.Conn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.forgotten[conn]
-}
