review: a program for each case, so that the first review's build takes their folders

Need: review/build.sh builds each numbered folder of review/, and failed at those without a program, before its own cases were built.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,7 +4,7 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
-for program in bin/larkrouter bin/review-peers; do
+for program in bin/larkrouter bin/review-case8; do
 	[ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
-exec bin/review-peers full "$here"
+exec bin/review-case8 "$here"
--- a/review/peers-2/callserver.go
+++ b/review/peers-2/callserver.go
@@ -1,4 +1,4 @@
-package main
+package peers
 
 import (
 	"encoding/binary"
--- a/review/peers-2/world.go
+++ b/review/peers-2/world.go
@@ -1,6 +1,6 @@
-// Command review-peers plays the cases of the second review. It starts access nodes as the deploy file says, and plays their platform on
+// Package peers plays the cases of the second review. It starts access nodes as the deploy file says, and plays their platform on
 // loopback: callers, call servers and the command channel. It uses none of the project's packages.
-package main
+package peers
 
 import (
 	"bufio"
@@ -85,17 +85,17 @@
 	os.RemoveAll(w.dir)
 }
 
-// cases are the scripts by the number of their folder.
+// cases are the plays by their names.
 var cases = map[string]func(*world){}
 
-func main() { os.Exit(run()) }
-
-func run() (code int) {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-peers CASE FOLDER")
+// Main plays a case and returns the exit code of its program, which gets the folder for record.txt as its only argument.
+func Main(name string) (code int) {
+	if len(os.Args) != 2 {
+		fmt.Fprintf(os.Stderr, "usage: %s FOLDER\n", os.Args[0])
 		return exitNotRun
 	}
-	file, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
+	folder, play := os.Args[1], cases[name]
+	file, err := os.Create(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
@@ -108,13 +108,13 @@
 	}
 	w := &world{dir: dir, hasFault: os.Getenv("TROUBLE") != "0", startedAt: time.Now(), record: bufio.NewWriter(file)}
 	defer w.end()
-	w.logf("case %s, disruption %v, started at %s", os.Args[1], w.hasFault, w.startedAt.UTC().Format(time.RFC3339))
+	w.logf("case %s, disruption %v, started at %s", name, w.hasFault, w.startedAt.UTC().Format(time.RFC3339))
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	done := make(chan any, 1)
 	go func() {
 		defer func() { done <- recover() }()
-		cases[os.Args[1]](w)
+		play(w)
 	}()
 	var cause any
 	select {
