--- a/review/8/main.go
+++ b/review/8/main.go
@@ -1,4 +1,4 @@
-// Case 8: a call server refuses connections. See claim.txt.
+// Case 8: an answer stops short. See claim.txt.
 package main
 
 import (
@@ -7,4 +7,4 @@
 	peers "larkrouter/review/peers-2"
 )
 
-func main() { os.Exit(peers.Main("full")) }
+func main() { os.Exit(peers.Main("short")) }
--- a/review/peers-2/callers.go
+++ b/review/peers-2/callers.go
@@ -95,7 +95,10 @@
 			c.mu.Unlock()
 			c.w.logf("%s: connection has ended: %v", c.name, err)
 			conn.Close()
-			if c.reconnects {
+			c.mu.Lock()
+			reconnects := c.reconnects
+			c.mu.Unlock()
+			if reconnects {
 				c.connect()
 			}
 			return
--- a/review/peers-2/callserver.go
+++ b/review/peers-2/callserver.go
@@ -76,18 +76,6 @@
 	}()
 }
 
-// setFull makes the server refuse new connections, as one that holds its maximum, or accept them again. Open ones stay.
-func (s *callServer) setFull(isFull bool) {
-	s.w.logf("%s full: %v", s.id, isFull)
-	if isFull {
-		s.mu.Lock()
-		s.listener.Close()
-		s.mu.Unlock()
-		return
-	}
-	s.listen()
-}
-
 // setHung makes the server neither read nor write, or go on.
 func (s *callServer) setHung(isHung bool) {
 	s.mu.Lock()
--- a/review/peers-2/world.go
+++ b/review/peers-2/world.go
@@ -213,6 +213,7 @@
 	n := &node{w: w, name: name, listen: listen, cmd: exec.Command("/bin/sh", "-c", string(command[1])), exited: make(chan struct{})}
 	n.cmd.Env = append(os.Environ(), "EDGE_NAME="+name, "EDGE_LISTEN="+listen, "EDGE_CONFIG="+path, "TMPDIR="+tmp)
 	n.cmd.Stdout, n.cmd.Stderr = logFile, logFile
+	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // the node ends with a driver that is killed outright
 	if err := n.cmd.Start(); err != nil {
 		w.fail("starting a node: %v", err)
 	}
