review: a command channel that had stopped is not asked for 16 s (case 9)

Seen: the command channel stops for 38 s while it stays open, and answers at once from then on. A drain told 6.2 s after its return is not heard for 7.5 s, as all four requests of a round have to end before the node asks again, which takes up to 16 s.

--- a/review/peers-2/channel.go
+++ b/review/peers-2/channel.go
@@ -15,9 +15,10 @@
 	w        *world
 	listener net.Listener
 
-	mu      sync.Mutex
-	events  []string
-	updated chan struct{} // closed when an event is added
+	mu       sync.Mutex
+	events   []string
+	updated  chan struct{} // closed when an event is added, or when the channel stops or goes on
+	isSilent bool
 }
 
 func (w *world) newChannel() *channel {
@@ -53,6 +54,16 @@
 	return append([]string(nil), c.events...)
 }
 
+// setSilent makes the channel stop while it stays open: what is open or comes meanwhile is never answered, also not later.
+func (c *channel) setSilent(isSilent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isSilent = isSilent
+	c.w.logf("channel silent: %v", isSilent)
+	close(c.updated)
+	c.updated = make(chan struct{})
+}
+
 func (c *channel) serve(rw http.ResponseWriter, r *http.Request) {
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-ID"))
 	c.w.logf("channel: asked for what follows event %d", last)
@@ -62,11 +73,16 @@
 	isNew := true
 	for {
 		c.mu.Lock()
-		updated, event := c.updated, ""
+		isSilent, updated, event := c.isSilent, c.updated, ""
 		if last < len(c.events) {
 			event = c.events[last]
 		}
 		c.mu.Unlock()
+		if isSilent {
+			c.w.logf("channel: this connection is silent from now on")
+			<-r.Context().Done()
+			return
+		}
 		if isNew {
 			isNew = false
 			rw.Header().Set("Content-Type", "text/event-stream")
