edge: the status record tells for how long a connection to a call server is silent

The log knew bytes and silence only for a server as a whole.

Change: each connection to a call server keeps when bytes last arrived, what is due on it (the rest of a message, a reply to a set-up) and how many bytes of an incomplete message it holds (reachability.Conn, pure). The status record has the longest silence, silent_ms, and incomplete. Nothing acts on it yet.

--- a/internal/edge/access/attempts.go
+++ b/internal/edge/access/attempts.go
@@ -108,6 +108,7 @@
 		n.Totals.SentAgain++
 	}
 	att.trunk, t.pending[call.id], t.lastUsed = t, att, n.now
+	t.liveness.SetUpSent(n.now)
 	n.timerHeap.Set(&att.timer, att.expires, func() { n.abandonAttempt(att, larkrouter.TimedOut) })
 	n.write(t.id, data)
 }
@@ -117,6 +118,7 @@
 func (n *Node) abandonAttempt(att *attempt, outcome larkrouter.Outcome) {
 	if t := att.trunk; t != nil {
 		t.abandoned[att.call.id] = struct{}{}
+		t.liveness.SetUpAbandoned()
 		n.write(t.id, encodeMessage(trunk.TypeRelease, att.call.id, trunk.CauseNormal))
 		if len(t.abandoned) > maxAbandonedSetUps {
 			defer n.forgetAbandoned(t)
@@ -140,6 +142,7 @@
 	n.timerHeap.Stop(&att.timer)
 	if att.trunk != nil {
 		delete(att.trunk.pending, att.call.id)
+		att.trunk.liveness.SetUpEnded()
 	} else {
 		att.server.queue = slices.DeleteFunc(att.server.queue, func(other *attempt) bool { return other == att })
 	}
--- a/internal/edge/access/replacement.go
+++ b/internal/edge/access/replacement.go
@@ -65,14 +65,14 @@
 
 // isOfProcess reports whether an open trunk was accepted by the process with the given start.
 func (t *trunkConn) isOfProcess(start time.Duration) bool {
-	return t.openedAt >= start-startTolerance || t.lastReceived >= start+startTolerance
+	return t.openedAt >= start-startTolerance || t.liveness.LastActive() >= start+startTolerance
 }
 
 // reassignTrunk assigns the calls of a trunk that has ended to another one that was accepted by the same process: it was open already
 // while bytes arrived on the ended one. The calls then end with that one.
 func (n *Node) reassignTrunk(ended *trunkConn) {
 	for _, t := range ended.server.trunks {
-		if t.openedAt >= ended.lastReceived || !n.canRead(t) {
+		if t.openedAt >= ended.liveness.LastActive() || !n.canRead(t) {
 			continue
 		}
 		for call := range ended.server.standing {
--- a/internal/edge/access/servers.go
+++ b/internal/edge/access/servers.go
@@ -185,6 +185,8 @@
 	PendingSetUps   int
 	WaitingForTrunk int // set-ups that wait for a trunk
 	StandingCalls   int
+	SilentFor       time.Duration // longest silence of a trunk on which something is due
+	IncompleteBytes int           // of messages that the server has begun to send
 	Counts          AttemptCounts
 	View            larkrouter.ServerView
 }
@@ -204,6 +206,8 @@
 				report.Trunks++
 			}
 			report.PendingSetUps += len(t.pending)
+			report.SilentFor = max(report.SilentFor, t.liveness.SilentFor(n.now))
+			report.IncompleteBytes += t.liveness.IncompleteBytes()
 		}
 		reports = append(reports, report)
 	}
--- a/internal/edge/access/trunks.go
+++ b/internal/edge/access/trunks.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"larkrouter"
+	"larkrouter/internal/edge/reachability"
 	"larkrouter/internal/edge/trunk"
 )
 
@@ -17,7 +18,7 @@
 	openedAt time.Duration
 	lastUsed time.Duration // when it opened, or when a message was last read or written
 
-	lastReceived time.Duration // when it opened, or when bytes last arrived
+	liveness reachability.Conn
 
 	pending   map[uint64]*attempt // set-ups that await an answer, by the caller's id of the call
 	abandoned map[uint64]struct{} // set-ups abandoned on it, by the caller's id: answers that still arrive for them are late
@@ -76,7 +77,8 @@
 	if t == nil {
 		return
 	}
-	t.isOpen, t.openedAt, t.lastUsed, t.lastReceived = true, n.now, n.now, n.now
+	t.isOpen, t.openedAt, t.lastUsed = true, n.now, n.now
+	t.liveness.Opened(n.now)
 	srv := t.server
 	srv.reachability.ConnOpened(n.now)
 	for _, call := range srv.awaitingRelease.inOrder() {
@@ -134,11 +136,20 @@
 func (n *Node) TrunkBytesReceived(now time.Duration, conn ConnID) {
 	n.advanceClock(now)
 	if t := n.trunks[conn]; t != nil {
-		t.lastUsed, t.lastReceived = n.now, n.now
+		t.lastUsed = n.now
+		t.liveness.Received(n.now)
 		t.server.reachability.BytesReceived(n.now)
 	}
 }
 
+// TrunkPartialMessage records how many bytes of an incomplete message have been received on a trunk.
+func (n *Node) TrunkPartialMessage(now time.Duration, conn ConnID, size int) {
+	n.advanceClock(now)
+	if t := n.trunks[conn]; t != nil {
+		t.liveness.Incomplete(size)
+	}
+}
+
 // TrunkMessage handles a message from a call server.
 func (n *Node) TrunkMessage(now time.Duration, conn ConnID, msg *trunk.Message) {
 	n.advanceClock(now)
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -146,6 +146,7 @@
 	for _, msg := range event.trunkMessages {
 		el.node.TrunkMessage(el.clock(), conn, msg)
 	}
+	el.node.TrunkPartialMessage(now, conn, event.partialBytes)
 	if event.protocolErr != nil {
 		el.node.TrunkProtocolError(now, conn, event.protocolErr)
 	}
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -117,7 +117,7 @@
 	}
 	for more := true; more; {
 		more = r.parse(&event)
-		event.partialBytes = r.callerStream.Held()
+		event.partialBytes = r.incompleteBytes()
 		if !more {
 			event.connErr = readErr
 		}
@@ -133,6 +133,14 @@
 	return true
 }
 
+// incompleteBytes returns the number of bytes that have been read and not yet been passed on as a message.
+func (r *reader) incompleteBytes() int {
+	if r.isTrunk {
+		return r.trunkStream.Buffered()
+	}
+	return r.callerStream.Held()
+}
+
 // parse sets the next messages of an event. It returns true if there may be more.
 func (r *reader) parse(event *loopEvent) (more bool) {
 	event.callerMessages, event.trunkMessages = nil, nil
--- a/internal/edge/report.go
+++ b/internal/edge/report.go
@@ -61,7 +61,8 @@
 		}
 		attrs = append(attrs, slog.Group(report.Server, slog.String("phase", report.Phase), slog.Int("lines", report.Trunks),
 			slog.Int("out", report.PendingSetUps), slog.Int("waiting", report.WaitingForTrunk),
-			slog.Int("standing", report.StandingCalls), slog.Any("counts", report.Counts),
+			slog.Int("standing", report.StandingCalls), slog.Float64("silent_ms", ms(report.SilentFor)),
+			slog.Int("incomplete", report.IncompleteBytes), slog.Any("counts", report.Counts),
 			slog.Int("state", int(report.View.State)), slog.Float64("rate", rate), slog.Float64("delay_ms", ms(report.View.Delay)),
 			slog.Int("unanswered", report.View.Outstanding)))
 	}
