edge: a connection to a call server that has stopped is left although another one works

With a second connection to the same server, callers are not told the end of the calls that were set up on the first (14 in 30 s; 8 s are allowed), and every second set-up is lost on it and sent again.

Cause: whether a server is heard was judged for the server as a whole, so that a connection that works hid one that does not (reachability.State.NeedsProbe). A server repeats a release on the next connection that is opened; none was opened, and none was left.

Change: silence is watched for each connection while something is due on it. After 1.6 s of it another one is opened, and the silent one takes no set-up if there is another; once the server is heard elsewhere after that, the silent one is closed, and one more is opened, on which the lost releases are repeated. A slow set-up keeps its connection, and so does a server that is silent as a whole. Where calls stand and nothing is due, a connection is opened after 4 s. Trunk upkeep moves from servers.go to server_trunks.go.

--- a/internal/edge/access/attempts.go
+++ b/internal/edge/access/attempts.go
@@ -73,11 +73,16 @@
 	return t.isOpen && !wasAbandoned && t.pending[call.id] == nil
 }
 
-// pickTrunk returns the usable trunk with the fewest pending set-ups, or nil.
+// pickTrunk returns the usable trunk with the fewest pending set-ups, or nil. One that may no longer work is the last choice.
 func (n *Node) pickTrunk(srv *server, call *callState) (best *trunkConn) {
+	isBestSuspect := false
 	for _, t := range srv.trunks {
-		if t.canCarry(call) && !n.isStale(t) && (best == nil || len(t.pending) < len(best.pending)) {
-			best = t
+		if !t.canCarry(call) || n.isStale(t) {
+			continue
+		}
+		isSuspect := n.isSuspect(t)
+		if best == nil || isBestSuspect && !isSuspect || isBestSuspect == isSuspect && len(t.pending) < len(best.pending) {
+			best, isBestSuspect = t, isSuspect
 		}
 	}
 	return best
--- a/internal/edge/access/node.go
+++ b/internal/edge/access/node.go
@@ -76,8 +76,9 @@
 	// Nil means never.
 	HasPeerClosed func(ConnID) bool
 
-	// HasUnreadInput reports whether bytes have arrived on a connection from callers that have not been passed to the
-	// node. It is called before a connection is evicted. Nil means never.
+	// HasUnreadInput reports whether bytes have arrived on a connection that have not been passed to the node. It is
+	// called before a caller's connection is evicted, and before a trunk is closed as spare or as one that has stopped. Nil
+	// means never.
 	HasUnreadInput func(ConnID) bool
 }
 
--- /dev/null
+++ b/internal/edge/access/server_trunks.go
@@ -0,0 +1,143 @@
+package access
+
+import (
+	"fmt"
+	"slices"
+
+	"larkrouter"
+	"larkrouter/internal/edge/reachability"
+)
+
+// maintainTrunks opens and closes trunks to a server as needed.
+func (n *Node) maintainTrunks(srv *server) {
+	if srv.reachability.IsUnresponsive(n.now) && slices.ContainsFunc(srv.trunks, func(t *trunkConn) bool { return t.isOpen }) {
+		srv.reachability.ConnsAbandoned()
+		n.closeTrunks(srv, "silent, and new connections fail")
+	}
+	stopped := n.leaveStoppedTrunks(srv)
+	srv.demand.Observe(n.now, srv.pendingSetUps())
+	wanted := srv.demand.Connections(n.cfg.MaxTrunksPerServer)
+	if srv.info.Phase == larkrouter.Gone {
+		wanted = 1
+	}
+	wanted += stopped
+	// Leave descriptors for callers and the command channel.
+	wanted = max(1, min(wanted, len(srv.trunks)+max(0, n.cfg.MaxTrunks-len(n.trunks))))
+	n.closeSpareTrunks(srv, wanted)
+	if n.needsAnotherTrunk(srv) && !slices.ContainsFunc(srv.trunks, func(t *trunkConn) bool { return !t.isOpen }) {
+		wanted = len(srv.trunks) + 1
+	}
+	if n.now < srv.reachability.NextDial() {
+		return
+	}
+	for len(srv.trunks) < wanted {
+		n.dialTrunk(srv)
+	}
+}
+
+func (n *Node) dialTrunk(srv *server) {
+	n.lastConn++
+	t := &trunkConn{id: n.lastConn, server: srv, dialedAt: n.now, pending: map[uint64]*attempt{}, abandoned: map[uint64]struct{}{}}
+	srv.trunks = append(srv.trunks, t)
+	n.trunks[t.id] = t
+	n.effects = append(n.effects, Effect{Kind: EffectDial, Conn: t.id, Addr: srv.addr})
+}
+
+// needsAnotherTrunk reports whether one more trunk is needed, whatever the demand: no open one can take the waiting set-ups, a
+// probe is due, or the server may have to repeat releases, which it does on a new connection only.
+func (n *Node) needsAnotherTrunk(srv *server) bool {
+	if len(srv.queue) > 0 || srv.reachability.NeedsProbe(n.now) || srv.releasesLostAt > 0 && len(srv.standing) > 0 {
+		return true
+	}
+	return slices.ContainsFunc(srv.trunks, func(t *trunkConn) bool {
+		return t.isOpen && (srv.reachability.NeedsProbeBeside(&t.liveness, n.now) ||
+			srv.reachability.NeedsProbeForCalls(&t.liveness, n.now) && t.hasCalls())
+	})
+}
+
+// pendingSetUps returns the number of set-ups that await an answer or wait for a trunk.
+func (s *server) pendingSetUps() int {
+	count := len(s.queue)
+	for _, t := range s.trunks {
+		count += len(t.pending)
+	}
+	return count
+}
+
+// hasCalls reports whether calls stand that were set up on the trunk.
+func (t *trunkConn) hasCalls() bool {
+	for call := range t.server.standing {
+		if call.trunk == t.id {
+			return true
+		}
+	}
+	return false
+}
+
+// hasStopped reports whether an open trunk no longer works although its server does.
+func (n *Node) hasStopped(t *trunkConn) bool {
+	if !t.isOpen || !t.server.reachability.IsSuspect(&t.liveness, n.now) || n.hasUnreadInput(t.id) {
+		return false
+	}
+	var open []*reachability.Conn
+	for _, other := range t.server.trunks {
+		if other.isOpen {
+			open = append(open, &other.liveness)
+		}
+	}
+	return t.server.reachability.HasStopped(&t.liveness, n.now, open)
+}
+
+// leaveStoppedTrunks closes the trunks that no longer work, and returns the number of those that stay: one with pending set-ups
+// does until they have ended by their own timers, as they may only be slow.
+func (n *Node) leaveStoppedTrunks(srv *server) (remaining int) {
+	for _, t := range slices.Clone(srv.trunks) {
+		switch {
+		case !n.hasStopped(t):
+		case !t.liveness.MayDropSetUps():
+			remaining++
+		default:
+			n.leaveStoppedTrunk(t)
+		}
+	}
+	return remaining
+}
+
+func (n *Node) leaveStoppedTrunk(t *trunkConn) {
+	n.Totals.TrunksStopped++
+	n.log(LogEntry{Event: "connection to a call server has stopped", Server: t.server.id, Count: len(t.pending),
+		Cause: fmt.Sprintf("silent for %v, %d bytes of an incomplete message", t.liveness.SilentFor(n.now), t.liveness.IncompleteBytes())})
+	n.closeTrunk(t)
+	n.expectRepeatedReleases(t.server)
+}
+
+// expectRepeatedReleases has a new trunk opened after one has ended: the server may have sent releases on that one which never
+// arrived. It repeats them on the next connection that opens, whatever others are open.
+func (n *Node) expectRepeatedReleases(srv *server) { srv.releasesLostAt = n.now }
+
+// closeSpareTrunks closes trunks that the server may be about to close as idle, and one trunk beyond the wanted
+// number, newest first, because servers send the messages of a call on the trunk that carried its set-up. A
+// trunk with a pending set-up stays open, and so does one used within the last second, as more messages may be
+// on their way.
+func (n *Node) closeSpareTrunks(srv *server, wanted int) {
+	for _, t := range slices.Clone(srv.trunks) {
+		if t.isOpen && len(t.pending) == 0 && n.isStale(t) {
+			n.closeTrunk(t)
+		}
+	}
+	if len(srv.trunks) <= wanted || len(srv.queue) > 0 {
+		return
+	}
+	for _, t := range slices.Backward(srv.trunks) {
+		if t.isOpen && len(t.pending) == 0 {
+			if reachability.CanCloseSpare(n.now - t.lastUsed) {
+				n.closeTrunk(t)
+			}
+			return
+		}
+	}
+}
+
+func (n *Node) isStale(t *trunkConn) bool {
+	return reachability.IsStale(n.now-t.lastUsed, n.cfg.Edge.ConnIdleTimeout)
+}
--- a/internal/edge/access/servers.go
+++ b/internal/edge/access/servers.go
@@ -22,8 +22,9 @@
 	startedUnixMilli int64                 // latest start that the list has reported; 0: none
 	reachability     *reachability.State
 	demand           reachability.Demand
-	trunks           []*trunkConn // open or being dialed
-	queue            []*attempt   // attempts that wait for a trunk
+	trunks           []*trunkConn  // open or being dialed
+	releasesLostAt   time.Duration // when a trunk ended that may have carried releases, and none has been dialed since; 0: never
+	queue            []*attempt    // attempts that wait for a trunk
 	standing         callSet
 	awaitingRelease  callSet // ended calls whose release waits for an open trunk
 	counts           AttemptCounts
@@ -74,85 +75,29 @@
 		}
 	}
 	if srv.info.Phase == larkrouter.Gone && len(srv.standing) == 0 {
-		if len(srv.trunks) > 0 && n.now-srv.withdrawnAt > time.Second {
-			n.closeTrunks(srv, "the server is gone")
-		}
-		if n.now-srv.withdrawnAt > goneRetention {
-			for _, call := range srv.awaitingRelease.inOrder() {
-				n.dropServerRelease(call)
-			}
-			delete(n.servers, srv.id)
-			delete(n.serversByNumber, srv.number)
-			n.serverOrder = slices.DeleteFunc(n.serverOrder, func(other *server) bool { return other == srv })
-		}
+		n.maintainGoneServer(srv)
 		return
 	}
 	if cause, isDead := srv.reachability.IsDead(n.now, srv.info.Phase == larkrouter.Gone); isDead && len(srv.standing) > 0 {
 		n.endLostCalls(srv, cause, srv.reachability.IsSilent())
 	}
-	if srv.reachability.IsUnresponsive(n.now) && slices.ContainsFunc(srv.trunks, func(t *trunkConn) bool { return t.isOpen }) {
-		srv.reachability.ConnsAbandoned()
-		n.closeTrunks(srv, "silent, and new connections fail")
-	}
-	srv.demand.Observe(n.now, srv.pendingSetUps())
-	wanted := srv.demand.Connections(n.cfg.MaxTrunksPerServer)
-	if srv.info.Phase == larkrouter.Gone {
-		wanted = 1
-	}
-	// Leave descriptors for callers and the command channel.
-	wanted = max(1, min(wanted, len(srv.trunks)+max(0, n.cfg.MaxTrunks-len(n.trunks))))
-	n.closeSpareTrunks(srv, wanted)
-	// No open trunk can take the waiting set-ups, or a probe is due: dial one more unless a dial is in progress.
-	if (len(srv.queue) > 0 || srv.reachability.NeedsProbe(n.now)) &&
-		!slices.ContainsFunc(srv.trunks, func(t *trunkConn) bool { return !t.isOpen }) {
-		wanted = len(srv.trunks) + 1
-	}
-	if n.now < srv.reachability.NextDial() {
-		return
-	}
-	for len(srv.trunks) < wanted {
-		n.lastConn++
-		t := &trunkConn{id: n.lastConn, server: srv, pending: map[uint64]*attempt{}, abandoned: map[uint64]struct{}{}}
-		srv.trunks = append(srv.trunks, t)
-		n.trunks[t.id] = t
-		n.effects = append(n.effects, Effect{Kind: EffectDial, Conn: t.id, Addr: srv.addr})
-	}
+	n.maintainTrunks(srv)
 }
 
-// pendingSetUps returns the number of set-ups that await an answer or wait for a trunk.
-func (s *server) pendingSetUps() int {
-	count := len(s.queue)
-	for _, t := range s.trunks {
-		count += len(t.pending)
+// maintainGoneServer closes the trunks to a server that is gone and has no standing calls, and forgets it after a while.
+func (n *Node) maintainGoneServer(srv *server) {
+	if len(srv.trunks) > 0 && n.now-srv.withdrawnAt > time.Second {
+		n.closeTrunks(srv, "the server is gone")
 	}
-	return count
-}
-
-// closeSpareTrunks closes trunks that the server may be about to close as idle, and one trunk beyond the wanted
-// number, newest first, because servers send the messages of a call on the trunk that carried its set-up. A
-// trunk with a pending set-up stays open, and so does one used within the last second, as more messages may be
-// on their way.
-func (n *Node) closeSpareTrunks(srv *server, wanted int) {
-	for _, t := range slices.Clone(srv.trunks) {
-		if t.isOpen && len(t.pending) == 0 && n.isStale(t) {
-			n.closeTrunk(t)
-		}
-	}
-	if len(srv.trunks) <= wanted || len(srv.queue) > 0 {
+	if n.now-srv.withdrawnAt <= goneRetention {
 		return
 	}
-	for _, t := range slices.Backward(srv.trunks) {
-		if t.isOpen && len(t.pending) == 0 {
-			if reachability.CanCloseSpare(n.now - t.lastUsed) {
-				n.closeTrunk(t)
-			}
-			return
-		}
+	for _, call := range srv.awaitingRelease.inOrder() {
+		n.dropServerRelease(call)
 	}
-}
-
-func (n *Node) isStale(t *trunkConn) bool {
-	return reachability.IsStale(n.now-t.lastUsed, n.cfg.Edge.ConnIdleTimeout)
+	delete(n.servers, srv.id)
+	delete(n.serversByNumber, srv.number)
+	n.serverOrder = slices.DeleteFunc(n.serverOrder, func(other *server) bool { return other == srv })
 }
 
 // endLostCalls ends the calls that stood at a server whose process has died or whose machine has vanished. If
--- /dev/null
+++ b/internal/edge/access/stopped_trunk_test.go
@@ -0,0 +1,190 @@
+package access
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	codec "larkrouter/internal/edge/caller"
+	"larkrouter/internal/edge/trunk"
+)
+
+const (
+	stepTime       = 10 * ms         // of the simulated call server; it answers a set-up one step later
+	lostReleaseMax = 8050 * ms       // the platform's limit, from the end of a call to its release at the caller
+	callTime       = 6 * time.Second // how long a call stands
+)
+
+// simulatedServer is a call server that follows the platform's protocol and says nothing unasked but its state on a new connection. On
+// a connection that has stopped nothing arrives from it any more.
+type simulatedServer struct {
+	*harness
+	id       string
+	accepted int // of the trunks that the node has opened
+	stopped  map[ConnID]bool
+	answers  map[int]ConnID // due at the next step
+	calls    map[int]ConnID // standing calls and the trunks of their set-ups
+	ends     map[int]time.Duration
+	repeats  []int // released calls whose release goes on the next connection too
+
+	stopAnswer func(conn ConnID, n int) // sends the next answer, after which its trunk has stopped
+	setUpsLost int                      // set-ups sent on a trunk that had stopped a while before
+	stoppedAt  time.Duration
+}
+
+func newSimulatedServer(h *harness, id string) *simulatedServer {
+	return &simulatedServer{harness: h, id: id, stopped: map[ConnID]bool{}, answers: map[int]ConnID{}, calls: map[int]ConnID{},
+		ends: map[int]time.Duration{}}
+}
+
+func (s *simulatedServer) send(conn ConnID, typ byte, n int, params ...trunk.Param) {
+	if !s.stopped[conn] && !s.closed[conn] {
+		s.sendFromServer(conn, typ, n, params...)
+	}
+}
+
+// step lets a step of time pass.
+func (s *simulatedServer) step() {
+	s.advance(stepTime)
+	conns := s.trunks[serverAddr(s.id)]
+	for ; s.accepted < len(conns); s.accepted++ {
+		s.accept(conns[s.accepted])
+	}
+	for _, n := range slices.Sorted(maps.Keys(s.answers)) {
+		s.answer(s.answers[n], n)
+	}
+	clear(s.answers)
+	for _, msg := range s.receivedByServer(s.id) {
+		s.receive(msg)
+	}
+	for _, n := range slices.Sorted(maps.Keys(s.calls)) {
+		if s.now >= s.ends[n] {
+			s.endCall(n, s.calls[n])
+		}
+	}
+}
+
+func (s *simulatedServer) accept(conn ConnID) {
+	s.send(conn, trunk.TypeState, 0, trunk.Param{Code: trunk.ParamReport, Value: []byte("free:90;size:100;lat_ms:1")})
+	for _, n := range s.repeats {
+		s.send(conn, trunk.TypeRelease, n, causeParam(trunk.CauseNormal))
+	}
+	s.repeats = nil
+}
+
+func (s *simulatedServer) receive(msg receivedMessage) {
+	n := int(msg.Call - 0xc0de0000)
+	switch msg.Type {
+	case trunk.TypeSetUp:
+		s.answers[n] = msg.conn
+		if s.stopped[msg.conn] && s.now > s.stoppedAt+2*time.Second {
+			s.setUpsLost++
+		}
+	case trunk.TypeRelease:
+		delete(s.answers, n)
+		delete(s.calls, n)
+	}
+}
+
+func (s *simulatedServer) answer(conn ConnID, n int) {
+	if s.closed[conn] {
+		return
+	}
+	s.calls[n], s.ends[n] = conn, s.now+callTime
+	if s.stopAnswer == nil {
+		s.send(conn, trunk.TypeAnswer, n, serverDescription)
+		return
+	}
+	s.stopAnswer(conn, n)
+	s.stopAnswer, s.stopped[conn], s.stoppedAt = nil, true, s.now
+}
+
+// endCall ends a call: on the trunk of its set-up, otherwise on any open one.
+func (s *simulatedServer) endCall(n int, conn ConnID) {
+	delete(s.calls, n)
+	s.repeats = append(s.repeats, n)
+	for _, other := range s.trunks[serverAddr(s.id)] {
+		if s.closed[conn] && !s.closed[other] {
+			conn = other
+		}
+	}
+	s.send(conn, trunk.TypeRelease, n, causeParam(trunk.CauseNormal))
+}
+
+// waysToStop are the ways in which an answer can be the last on its connection.
+var waysToStop = map[string]func(s *simulatedServer, conn ConnID, n int){
+	"stops short": func(s *simulatedServer, conn ConnID, _ int) {
+		s.node.TrunkBytesReceived(s.now, conn)
+		s.node.TrunkPartialMessage(s.now, conn, 26)
+	},
+	"never arrives": func(*simulatedServer, ConnID, int) {},
+	"arrives whole": func(s *simulatedServer, conn ConnID, n int) {
+		s.sendFromServer(conn, trunk.TypeAnswer, n, serverDescription)
+	},
+}
+
+// TestStoppedTrunk guards against callers that are not told the end of their calls, and set-ups that are lost, because a connection to
+// their call server stays open without a sign of life while the server's other connections work.
+func TestStoppedTrunk(t *testing.T) {
+	for way, stop := range waysToStop {
+		for traffic, atOnce := range map[string]int{"two connections": 2, "one connection": 1} {
+			for _, placeFor := range []time.Duration{24 * time.Second, 3 * time.Second} {
+				t.Run(fmt.Sprintf("%s, %s, calls for %v", way, traffic, placeFor), func(t *testing.T) {
+					testStoppedTrunk(t, atOnce, placeFor, stop)
+				})
+			}
+		}
+	}
+}
+
+func testStoppedTrunk(t *testing.T, atOnce int, placeFor time.Duration, stop func(*simulatedServer, ConnID, int)) {
+	const (
+		placeEvery = 250 * ms
+		stopAt     = 3 * time.Second
+	)
+	h := newHarness(t, testConfig(), "s-1")
+	server := newSimulatedServer(h, "s-1")
+	caller := h.openCaller()
+	released := map[int]time.Duration{}
+	placed := 0
+	place := func() {
+		placed++
+		h.sendFromCaller(caller, formatInvite(placed, "dest:0;width:1;via:-1"))
+	}
+	for range atOnce - 1 {
+		place()
+	}
+	startedAt := h.now
+	for step := 0; h.now < startedAt+30*time.Second; step++ {
+		if h.now-startedAt == stopAt {
+			server.stopAnswer = func(conn ConnID, n int) { stop(server, conn, n) }
+		}
+		if h.now-startedAt <= placeFor && time.Duration(step)*stepTime%placeEvery == 0 {
+			place()
+		}
+		server.step()
+		for _, msg := range h.messagesTo(caller) {
+			if id, _ := codec.ParseID(msg.Get("Call-ID")); msg.Method == "BYE" {
+				released[int(id-0xc0de0000)] = h.now
+			}
+		}
+	}
+	late := 0
+	for _, call := range h.node.callsByID {
+		if n := int(call.id - 0xc0de0000); call.isStanding && server.calls[n] == 0 && h.now-server.ends[n] > lostReleaseMax {
+			late++
+		}
+	}
+	for n, at := range released {
+		if at-server.ends[n] > lostReleaseMax {
+			late++
+		}
+	}
+	if late > 0 || server.setUpsLost > 0 || len(server.ends) < 12 {
+		t.Errorf("%d calls set up; %d callers not told of the end within 8 s, %d set-ups on a connection that stopped over 2 s before; "+
+			"want 0 and 0; log %v", len(server.ends), late, server.setUpsLost, h.logged)
+	}
+	t.Logf("%d calls, %d connections opened", len(server.ends), len(h.trunks[serverAddr("s-1")]))
+}
--- a/internal/edge/access/totals.go
+++ b/internal/edge/access/totals.go
@@ -26,6 +26,7 @@
 	CallerHungUp         uint64 `json:"Dropped"`       // set-ups whose caller closed its connection
 	CallerConnsClosed    uint64 `json:"CallersClosed"` // caller connections closed by the node
 	CallerConnsOverLimit uint64 `json:"CallersFull"`   // caller connections opened at the limit
+	TrunksStopped        uint64 // connections to call servers left because nothing arrived on them any more
 	ConnsIncomplete      uint64 // caller connections closed because a message did not complete
 	ConnsWithoutCall     uint64 // caller connections closed because no call on them was answered
 	ConnsIdle            uint64 // caller connections closed because they were idle
--- a/internal/edge/access/trunks.go
+++ b/internal/edge/access/trunks.go
@@ -15,6 +15,7 @@
 	id       ConnID
 	server   *server
 	isOpen   bool
+	dialedAt time.Duration
 	openedAt time.Duration
 	lastUsed time.Duration // when it opened, or when a message was last read or written
 
@@ -29,6 +30,11 @@
 	return n.cfg.HasPeerClosed != nil && n.cfg.HasPeerClosed(conn)
 }
 
+// hasUnreadInput reports whether bytes have arrived on a connection that the node has not been passed.
+func (n *Node) hasUnreadInput(conn ConnID) bool {
+	return n.cfg.HasUnreadInput != nil && n.cfg.HasUnreadInput(conn)
+}
+
 // closeTrunks closes all trunks to a server.
 func (n *Node) closeTrunks(srv *server, cause string) {
 	n.log(LogEntry{Event: "connections left", Server: srv.id, Cause: cause, Count: len(srv.trunks)})
@@ -81,6 +87,9 @@
 	t.liveness.Opened(n.now)
 	srv := t.server
 	srv.reachability.ConnOpened(n.now)
+	if t.dialedAt > srv.releasesLostAt {
+		srv.releasesLostAt = 0
+	}
 	for _, call := range srv.awaitingRelease.inOrder() {
 		n.write(t.id, encodeMessage(trunk.TypeRelease, call.id, trunk.CauseNormal))
 		n.dropServerRelease(call)
@@ -262,14 +271,23 @@
 // canRead reports whether the server at the other end of a trunk can read what is written now.
 func (n *Node) canRead(t *trunkConn) bool { return t.isOpen && !n.hasPeerClosed(t.id) }
 
-// openTrunk returns an open trunk to a server, or nil.
-func (n *Node) openTrunk(srv *server) *trunkConn {
+// openTrunk returns an open trunk to a server, or nil. One that may no longer work is the last choice.
+func (n *Node) openTrunk(srv *server) (found *trunkConn) {
 	for _, t := range srv.trunks {
-		if n.canRead(t) {
+		switch {
+		case !n.canRead(t):
+		case !n.isSuspect(t):
 			return t
+		case found == nil:
+			found = t
 		}
 	}
-	return nil
+	return found
+}
+
+// isSuspect reports whether a trunk may no longer work.
+func (n *Node) isSuspect(t *trunkConn) bool {
+	return t.server.reachability.IsSuspect(&t.liveness, n.now)
 }
 
 // releaseAtServer releases a standing call at its server: on the trunk that carried its set-up, otherwise on
--- a/internal/edge/reachability/conn.go
+++ b/internal/edge/reachability/conn.go
@@ -1,6 +1,9 @@
 package reachability
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Conn tracks whether one connection to a call server still works. The server as a whole cannot tell: it may be alive on its
 // other connections.
@@ -57,3 +60,37 @@
 	}
 	return now - max(c.LastActive(), c.dueAt)
 }
+
+// HasReceivedSince reports whether bytes have arrived since the given time.
+func (c *Conn) HasReceivedSince(at time.Duration) bool { return c.receivedAt > 0 && c.receivedAt >= at }
+
+// MayDropSetUps reports whether closing the connection gives up no set-up that may still be answered: none is pending, or an
+// answer cannot arrive whole any more.
+func (c *Conn) MayDropSetUps() bool { return c.pendingSetUps == 0 || c.incompleteBytes > 0 }
+
+// IsSuspect reports whether a connection may not work any more, so that another one is preferred to it.
+func (s *State) IsSuspect(c *Conn, now time.Duration) bool {
+	return c.SilentFor(now) >= s.settings.ProbeAfter
+}
+
+// HasStopped reports whether a connection no longer works: it has been silent for too long, and after that the server has
+// sent something on one of its other connections.
+func (s *State) HasStopped(c *Conn, now time.Duration, others []*Conn) bool {
+	if !s.IsSuspect(c, now) {
+		return false
+	}
+	limit := now - c.SilentFor(now) + s.settings.ProbeAfter
+	return slices.ContainsFunc(others, func(other *Conn) bool { return other != c && other.HasReceivedSince(limit) })
+}
+
+// NeedsProbeBeside reports whether a new connection should be opened beside one that may have stopped. The server repeats on
+// it the releases of calls that it has sent on its other connections.
+func (s *State) NeedsProbeBeside(c *Conn, now time.Duration) bool {
+	return s.IsSuspect(c, now) && now-s.openedAt >= s.settings.ProbeAfter
+}
+
+// NeedsProbeForCalls reports the same for a connection on which nothing is due, if calls stand that were set up on it: it may
+// have stopped too.
+func (s *State) NeedsProbeForCalls(c *Conn, now time.Duration) bool {
+	return now-c.LastActive() >= s.settings.QuietAfter && now-s.openedAt >= s.settings.QuietAfter
+}
--- a/internal/edge/reachability/reachability.go
+++ b/internal/edge/reachability/reachability.go
@@ -53,6 +53,7 @@
 type Settings struct {
 	ConnectTimeout         time.Duration // a connection that is not open by then never opens; default 500 ms
 	ProbeAfter             time.Duration // after receiving nothing for this long, a new connection is tried as a probe; default 1.6 s
+	QuietAfter             time.Duration // as ProbeAfter, for one connection with standing calls on which nothing is due; default 4 s
 	UnreachableAfter       time.Duration // after receiving nothing for this long and failed dials, the calls are lost; default 6 s
 	RefusedAfter           time.Duration // after dials were refused for this long with no connection open, the calls are lost; default 1 s
 	MinBackoff, MaxBackoff time.Duration // time between failed dials; defaults 40 ms, doubling up to 500 ms
@@ -66,6 +67,7 @@
 	}
 	setDefault(&s.ConnectTimeout, 500*time.Millisecond)
 	setDefault(&s.ProbeAfter, 1600*time.Millisecond)
+	setDefault(&s.QuietAfter, 4*time.Second)
 	setDefault(&s.UnreachableAfter, 6*time.Second)
 	setDefault(&s.RefusedAfter, time.Second)
 	setDefault(&s.MinBackoff, 40*time.Millisecond)
@@ -78,6 +80,7 @@
 	openConns         int
 	failures          int           // consecutive failed dials
 	lastReceived      time.Duration // when bytes were last received or a connection last opened
+	openedAt          time.Duration // when a connection last opened
 	nextDial          time.Duration // earliest time of the next dial
 	refusedSince      time.Duration // start of the current sequence of refused dials
 	isRefusing        bool
@@ -93,7 +96,8 @@
 // ConnOpened records that a connection opened.
 func (s *State) ConnOpened(now time.Duration) {
 	s.openConns++
-	s.failures, s.isRefusing, s.hasAbandonedConns, s.lastReceived, s.nextDial = 0, false, false, now, now
+	s.failures, s.isRefusing, s.hasAbandonedConns = 0, false, false
+	s.lastReceived, s.openedAt, s.nextDial = now, now, now
 }
 
 // BytesReceived records that bytes arrived on a connection.
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -98,12 +98,13 @@
 
 // feed adds bytes that were read to the stream of messages.
 func (r *reader) feed(data []byte) {
-	switch {
-	case len(data) == 0:
-	case r.isTrunk:
+	if len(data) == 0 {
+		return
+	}
+	r.hasUnhandledInput.Store(true)
+	if r.isTrunk {
 		r.trunkStream.Feed(data)
-	default:
-		r.hasUnhandledInput.Store(true)
+	} else {
 		r.callerStream.Feed(data)
 	}
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -98,7 +98,7 @@
 	return sock != nil && sock.hasPeerClosed()
 }
 
-// hasUnreadInput reports whether a caller has sent bytes that the node has not handled.
+// hasUnreadInput reports whether bytes have arrived on a connection that the node has not handled.
 func (el *eventLoop) hasUnreadInput(conn access.ConnID) bool {
 	sock := el.sockets[conn]
 	return sock != nil && sock.hasUnreadInput()
--- a/internal/edge/socket_test.go
+++ b/internal/edge/socket_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"testing"
@@ -84,3 +85,39 @@
 	}
 	env.stopNode()
 }
+
+// TestStoppedConnectionOnSockets guards against a call that is never released because an answer stops short on its connection, which
+// stays open, while the node has another connection to the same call server.
+func TestStoppedConnectionOnSockets(t *testing.T) {
+	env, server, stopped := newScriptedEnv(t)
+	caller := env.dialCaller()
+	caller.send(formatInvite(1))
+	stopped.answerCall(stopped.nextSetUp().Call)
+	expect(t, "answer", caller.nextFromNode(), "200 INVITE")
+	caller.send(formatInvite(2))
+	answer := answerMessage(stopped.nextSetUp().Call)
+	stopped.send(string(answer[:len(answer)/2]))
+
+	works := server.acceptTrunk()
+	state, err := (&trunk.Message{Type: trunk.TypeState}).Append(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { // until the end of the connection
+		for {
+			if _, err := works.Write(state); err != nil {
+				return
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+	}()
+	next := server.acceptTrunk() // on this one the server repeats the release that was lost
+	next.sendTrunkMessage(trunk.TypeRelease, 1, causeParam(trunk.CauseNormal))
+	for message := caller.nextFromNode(); message != "BYE"; message = caller.nextFromNode() {
+		expect(t, "before the release", message, "503 INVITE")
+	}
+	for message := stopped.nextTrunkMessage(); message != nil; message = stopped.nextTrunkMessage() {
+		expect(t, "messages on the stopped connection", message.Type, fmt.Sprint(trunk.TypeRelease))
+	}
+	env.stopNode()
+}
