edge: after a connection that may have carried releases another one is opened

What callers would see: a call server releases a call on a connection as that ends (a reset, unreadable input, the node's close of a spare one). With another connection that works, the caller is never told.

A server repeats a release on the next connection that is opened, and the node judges by the server as a whole whether to open one (maintainTrunks); with one that works it opened none. A spare connection was closed with input waiting on it.

Change: the end of a connection that may have carried releases of standing calls has another one opened. A spare one is not closed while input waits, and its close counts only if calls were set up on it, so that probes do not follow one another.

Measured: TestReleaseLostWithTrunk fails before in both cases (no release within 8 s) and passes, 20 of 20. The tests of internal/edge/access, the scenarios and the socket tests pass.

--- a/internal/edge/access/attempts.go
+++ b/internal/edge/access/attempts.go
@@ -139,6 +139,7 @@
 	if len(t.abandoned) > maxAbandonedSetUps/2 && n.trunks[t.id] == t {
 		clear(t.abandoned)
 		n.closeTrunk(t)
+		n.expectRepeatedReleases(t.server)
 	}
 }
 
--- a/internal/edge/access/server_trunks.go
+++ b/internal/edge/access/server_trunks.go
@@ -113,7 +113,11 @@
 
 // expectRepeatedReleases has a new trunk opened after one has ended: the server may have sent releases on that one which never
 // arrived. It repeats them on the next connection that opens, whatever others are open.
-func (n *Node) expectRepeatedReleases(srv *server) { srv.releasesLostAt = n.now }
+func (n *Node) expectRepeatedReleases(srv *server) {
+	if len(srv.standing) > 0 {
+		srv.releasesLostAt = n.now
+	}
+}
 
 // closeSpareTrunks closes trunks that the server may be about to close as idle, and one trunk beyond the wanted
 // number, newest first, because servers send the messages of a call on the trunk that carried its set-up. A
@@ -122,7 +126,7 @@
 func (n *Node) closeSpareTrunks(srv *server, wanted int) {
 	for _, t := range slices.Clone(srv.trunks) {
 		if t.isOpen && len(t.pending) == 0 && n.isStale(t) {
-			n.closeTrunk(t)
+			n.closeSpareTrunk(t)
 		}
 	}
 	if len(srv.trunks) <= wanted || len(srv.queue) > 0 {
@@ -131,13 +135,25 @@
 	for _, t := range slices.Backward(srv.trunks) {
 		if t.isOpen && len(t.pending) == 0 {
 			if reachability.CanCloseSpare(n.now - t.lastUsed) {
-				n.closeTrunk(t)
+				n.closeSpareTrunk(t)
 			}
 			return
 		}
 	}
 }
 
+// closeSpareTrunk closes a trunk that is not needed, unless input waits to be read. Releases may cross the close.
+func (n *Node) closeSpareTrunk(t *trunkConn) {
+	if n.hasUnreadInput(t.id) {
+		return
+	}
+	hadCalls := t.hasCalls()
+	n.closeTrunk(t)
+	if hadCalls {
+		n.expectRepeatedReleases(t.server)
+	}
+}
+
 func (n *Node) isStale(t *trunkConn) bool {
 	return reachability.IsStale(n.now-t.lastUsed, n.cfg.Edge.ConnIdleTimeout)
 }
--- a/internal/edge/access/stopped_trunk_test.go
+++ b/internal/edge/access/stopped_trunk_test.go
@@ -12,9 +12,8 @@
 )
 
 const (
-	stepTime       = 10 * ms         // of the simulated call server; it answers a set-up one step later
-	lostReleaseMax = 8050 * ms       // the platform's limit, from the end of a call to its release at the caller
-	callTime       = 6 * time.Second // how long a call stands
+	stepTime       = 10 * ms   // of the simulated call server; it answers a set-up one step later
+	lostReleaseMax = 8050 * ms // the platform's limit, from the end of a call to its release at the caller
 )
 
 // simulatedServer is a call server that follows the platform's protocol and says nothing unasked but its state on a new connection. On
@@ -22,6 +21,8 @@
 type simulatedServer struct {
 	*harness
 	id       string
+	callTime time.Duration // how long a call stands
+	placed   int
 	accepted int // of the trunks that the node has opened
 	stopped  map[ConnID]bool
 	answers  map[int]ConnID // due at the next step
@@ -35,7 +36,7 @@
 }
 
 func newSimulatedServer(h *harness, id string) *simulatedServer {
-	return &simulatedServer{harness: h, id: id, stopped: map[ConnID]bool{}, answers: map[int]ConnID{}, calls: map[int]ConnID{},
+	return &simulatedServer{harness: h, id: id, callTime: 6 * time.Second, stopped: map[ConnID]bool{}, answers: map[int]ConnID{}, calls: map[int]ConnID{},
 		ends: map[int]time.Duration{}}
 }
 
@@ -92,7 +93,7 @@
 	if s.closed[conn] {
 		return
 	}
-	s.calls[n], s.ends[n] = conn, s.now+callTime
+	s.calls[n], s.ends[n] = conn, s.now+s.callTime
 	if s.stopAnswer == nil {
 		s.send(conn, trunk.TypeAnswer, n, serverDescription)
 		return
@@ -148,13 +149,8 @@
 	server := newSimulatedServer(h, "s-1")
 	caller := h.openCaller()
 	released := map[int]time.Duration{}
-	placed := 0
-	place := func() {
-		placed++
-		h.sendFromCaller(caller, formatInvite(placed, "dest:0;width:1;via:-1"))
-	}
 	for range atOnce - 1 {
-		place()
+		server.place(caller)
 	}
 	startedAt := h.now
 	for step := 0; h.now < startedAt+30*time.Second; step++ {
@@ -162,13 +158,11 @@
 			server.stopAnswer = func(conn ConnID, n int) { stop(server, conn, n) }
 		}
 		if h.now-startedAt <= placeFor && time.Duration(step)*stepTime%placeEvery == 0 {
-			place()
+			server.place(caller)
 		}
 		server.step()
-		for _, msg := range h.messagesTo(caller) {
-			if id, _ := codec.ParseID(msg.Get("Call-ID")); msg.Method == "BYE" {
-				released[int(id-0xc0de0000)] = h.now
-			}
+		for _, n := range server.releasedAtCaller(caller) {
+			released[n] = h.now
 		}
 	}
 	late := 0
@@ -188,3 +182,83 @@
 	}
 	t.Logf("%d calls, %d connections opened", len(server.ends), len(h.trunks[serverAddr("s-1")]))
 }
+
+// loseCall ends a call whose release is lost with the trunk that it was written to.
+func (s *simulatedServer) loseCall(n int) {
+	delete(s.calls, n)
+	s.ends[n] = s.now
+	s.repeats = append(s.repeats, n)
+}
+
+// placeWhile places a call each 250 ms while the condition holds, at most for the given time, and returns the calls whose release
+// the caller has got.
+func (s *simulatedServer) placeWhile(limit time.Duration, caller ConnID, isWanted func() bool) (released []int) {
+	end := s.now + limit
+	for step := 0; s.now < end && isWanted(); step++ {
+		if step%25 == 0 {
+			s.place(caller)
+		}
+		s.step()
+		released = append(released, s.releasedAtCaller(caller)...)
+	}
+	return released
+}
+
+// place places the next call.
+func (s *simulatedServer) place(caller ConnID) {
+	s.placed++
+	s.sendFromCaller(caller, formatInvite(s.placed, "dest:0;width:1;via:-1"))
+}
+
+// releasedAtCaller returns the calls whose release the caller has got since the last call.
+func (s *simulatedServer) releasedAtCaller(caller ConnID) (all []int) {
+	for _, msg := range s.messagesTo(caller) {
+		if id, _ := codec.ParseID(msg.Get("Call-ID")); msg.Method == "BYE" {
+			all = append(all, int(id-0xc0de0000))
+		}
+	}
+	return all
+}
+
+// TestReleaseLostWithTrunk guards against a caller that is never told the end of its call because the release was lost with the
+// connection that it was sent on, and the node opens no other one as it has one that works.
+func TestReleaseLostWithTrunk(t *testing.T) {
+	always := func() bool { return true }
+	for name, closeTrunk := range map[string]func(s *simulatedServer, caller ConnID) (lost int){
+		"reset beside a probe": func(s *simulatedServer, caller ConnID) int {
+			s.place(caller)
+			for len(s.trunks[serverAddr(s.id)]) < 2 {
+				s.step()
+			}
+			first := s.calls[1]
+			s.closed[first] = true
+			s.node.TrunkClosed(s.now, first, "reset")
+			s.execute()
+			return 1
+		},
+		"crosses the close of a spare connection": func(s *simulatedServer, caller ConnID) (lost int) {
+			for range 2 { // two at once, twice: one of the second two goes on the second connection
+				s.place(caller)
+				s.placeWhile(100*ms, caller, always)
+			}
+			spare := s.trunks[serverAddr(s.id)][1]
+			s.placeWhile(time.Minute, caller, func() bool { return !s.closed[spare] })
+			for n, conn := range s.calls {
+				if conn == spare && s.closed[spare] {
+					lost = max(lost, n)
+				}
+			}
+			return lost
+		},
+	} {
+		h := newHarness(t, testConfig(), "s-1")
+		server, caller := newSimulatedServer(h, "s-1"), h.openCaller()
+		server.callTime = time.Hour
+		lost := closeTrunk(server, caller)
+		server.loseCall(lost)
+		released := server.placeWhile(lostReleaseMax, caller, always)
+		if lost == 0 || !slices.Equal(released, []int{lost}) {
+			t.Errorf("%s: within 8 s the caller got the releases of calls %v, want that of call %d", name, released, lost)
+		}
+	}
+}
--- a/internal/edge/access/trunks.go
+++ b/internal/edge/access/trunks.go
@@ -127,6 +127,7 @@
 	if t := n.trunks[conn]; t != nil {
 		n.log(LogEntry{Event: "connection to a call server ended", Server: t.server.id, Cause: cause, Count: len(t.pending)})
 		n.removeTrunk(t)
+		n.expectRepeatedReleases(t.server)
 		n.maintainServer(t.server)
 	}
 }
@@ -137,6 +138,7 @@
 	if t := n.trunks[conn]; t != nil {
 		n.log(LogEntry{Event: "unreadable from a call server", Server: t.server.id, Cause: err.Error(), Count: len(t.pending)})
 		n.closeTrunk(t)
+		n.expectRepeatedReleases(t.server)
 		n.maintainServer(t.server)
 	}
 }
@@ -200,6 +202,7 @@
 	if description == nil { // without a description the caller cannot use the answer
 		n.log(LogEntry{Event: "answer without a description", Server: t.server.id, Call: msg.Call})
 		n.closeTrunk(t)
+		n.expectRepeatedReleases(t.server)
 		return
 	}
 	n.detachAttempt(att)
