edge: a release for a call server is sent again when its connection ends or has stopped

What callers would see: a call that they have ended stands at its server for good. The release was written on a connection that had stopped, or that the server had forgotten and reset.

Cause: a release counted as sent once it was written on a connection that the kernel had open (releaseAtServer). Whether that works shows later, and what had been written there was not known any more.

--- a/internal/edge/access/stopped_trunk_test.go
+++ b/internal/edge/access/stopped_trunk_test.go
@@ -25,8 +25,9 @@
 	placed   int
 	accepted int // of the trunks that the node has opened
 	stopped  map[ConnID]bool
-	answers  map[int]ConnID // due at the next step
-	calls    map[int]ConnID // standing calls and the trunks of their set-ups
+	isDeaf   map[ConnID]bool // nothing reaches the server there
+	answers  map[int]ConnID  // due at the next step
+	calls    map[int]ConnID  // standing calls and the trunks of their set-ups
 	ends     map[int]time.Duration
 	repeats  []int // released calls whose release goes on the next connection too
 
@@ -36,7 +37,7 @@
 }
 
 func newSimulatedServer(h *harness, id string) *simulatedServer {
-	return &simulatedServer{harness: h, id: id, callTime: 6 * time.Second, stopped: map[ConnID]bool{}, answers: map[int]ConnID{}, calls: map[int]ConnID{},
+	return &simulatedServer{harness: h, id: id, callTime: 6 * time.Second, stopped: map[ConnID]bool{}, isDeaf: map[ConnID]bool{}, answers: map[int]ConnID{}, calls: map[int]ConnID{},
 		ends: map[int]time.Duration{}}
 }
 
@@ -77,6 +78,9 @@
 
 func (s *simulatedServer) receive(msg receivedMessage) {
 	n := int(msg.Call - 0xc0de0000)
+	if s.isDeaf[msg.conn] {
+		return
+	}
 	switch msg.Type {
 	case trunk.TypeSetUp:
 		s.answers[n] = msg.conn
@@ -262,3 +266,54 @@
 		}
 	}
 }
+
+// TestReleaseForServerIsSentAgain guards against a call that its caller has released and that stands at its server for good, because
+// the release was written on a connection that had stopped or that the server had forgotten.
+func TestReleaseForServerIsSentAgain(t *testing.T) {
+	always := func() bool { return true }
+	for name, how := range map[string]struct {
+		bye   time.Duration // from the stop to the caller's BYE
+		reset bool          // the server has forgotten the connection, and resets it when bytes arrive
+	}{"stopped": {500 * ms, false}, "known to have stopped": {2 * time.Second, false}, "forgotten": {0, true}} {
+		h := newHarness(t, testConfig(), "s-1")
+		server, caller := newSimulatedServer(h, "s-1"), h.openCaller()
+		server.callTime = time.Hour
+		for range 2 { // two at once, twice: each connection has a call
+			server.place(caller)
+			server.placeWhile(100*ms, caller, always)
+		}
+		first := server.calls[1]
+		server.stopped[first], server.isDeaf[first] = true, true
+		server.placeWhile(how.bye, caller, always)
+		h.sendFromCaller(caller, formatRequest("BYE", 1, "", ""))
+		if how.reset {
+			h.closed[first] = true
+			h.node.TrunkClosed(h.now, first, "reset")
+			h.execute()
+		}
+		server.placeWhile(lostReleaseMax, caller, func() bool { return server.calls[1] != 0 })
+		if server.calls[1] != 0 {
+			t.Errorf("%s: the call that its caller has released stands at its server after 8 s", name)
+		}
+	}
+}
+
+// TestRememberedServerReleases guards against releases of calls that a client has made up, which displace those of true calls or grow
+// without bound.
+func TestRememberedServerReleases(t *testing.T) {
+	var conn trunkConn
+	conn.rememberRelease(serverRelease{call: &callState{attempts: 1}})
+	for range 2 * maxServerReleases {
+		conn.rememberRelease(serverRelease{call: &callState{}})
+	}
+	if n := len(conn.releases); n != maxServerReleases || conn.releases[0].isClaimed() {
+		t.Errorf("%d releases are remembered, the first of a made-up call: %v; want %d and false", n, conn.releases[0].isClaimed(), maxServerReleases)
+	}
+	for range 2 * maxServerReleases {
+		conn.rememberRelease(serverRelease{call: &callState{attempts: 1}})
+	}
+	conn.rememberRelease(serverRelease{call: &callState{}})
+	if n := len(conn.releases); n != maxServerReleases || slices.ContainsFunc(conn.releases, serverRelease.isClaimed) {
+		t.Errorf("%d releases are remembered, want %d, none of a made-up call", n, maxServerReleases)
+	}
+}
--- a/internal/edge/access/trunks.go
+++ b/internal/edge/access/trunks.go
@@ -20,6 +20,7 @@
 	lastUsed time.Duration // when it opened, or when a message was last read or written
 
 	liveness reachability.Conn
+	releases []serverRelease // written to it, and perhaps not read
 
 	pending   map[uint64]*attempt // set-ups that await an answer, by the caller's id of the call
 	abandoned map[uint64]struct{} // set-ups abandoned on it, by the caller's id: answers that still arrive for them are late
@@ -65,6 +66,7 @@
 	for _, att := range attemptsInCallOrder(t.pending) {
 		n.endAttempt(att, larkrouter.AttemptResult{Outcome: larkrouter.Reset})
 	}
+	n.resendServerReleases(t)
 }
 
 func attemptsInCallOrder(pending map[uint64]*attempt) []*attempt {
@@ -292,18 +294,3 @@
 func (n *Node) isSuspect(t *trunkConn) bool {
 	return t.server.reachability.IsSuspect(&t.liveness, n.now)
 }
-
-// releaseAtServer releases a standing call at its server: on the trunk that carried its set-up, otherwise on
-// any open trunk. If there is none, the release waits for the next trunk that opens.
-func (n *Node) releaseAtServer(call *callState, cause byte) {
-	srv := call.server
-	t := n.trunks[call.trunk]
-	if t == nil || t.server != srv || !n.canRead(t) {
-		t = n.openTrunk(srv)
-	}
-	if t == nil {
-		srv.keepRelease(call)
-		return
-	}
-	n.write(t.id, encodeMessage(trunk.TypeRelease, call.id, cause))
-}
