A call that may have run is not refused as its node stops: the module gives the answer

Cause: Node.Stop told the module that the call was cancelled and wrote 503 itself, whatever had been sent, as the module could not be asked for an answer before the deadline. answerAndClose (refuseAndClose until now) did the same for the open calls of a caller's connection that the node closes.

Change: event AnswerDue in api.go. The module answers at once by the rule that it has (refuseOrAbandon); an outstanding attempt counts as one that may have run if it was sent.

--- a/api.go
+++ b/api.go
@@ -157,6 +157,12 @@
 	}
 	// CallCancelled reports that a call has ended without a final answer: the caller hung up, or the answer is overdue.
 	CallCancelled struct{ Call uint64 }
+	// AnswerDue reports that a call needs its final answer now, before its deadline: the node stops, or it closes the connection
+	// on which the answer goes. The controller answers at once. The node ends the outstanding attempt, if any, after that.
+	AnswerDue struct {
+		Call        uint64
+		AttemptSent bool // an attempt is outstanding, and may have run
+	}
 	// Timer reports that the time requested by a Wake action has passed. Cookie is that of the Wake.
 	Timer struct{ Cookie uint64 }
 	// ProbeResult is the answer to a Probe. It is also sent without a Probe when the number of free circuits changes.
@@ -189,6 +195,7 @@
 func (Standing) event()      {}
 func (AttemptResult) event() {}
 func (CallCancelled) event() {}
+func (AnswerDue) event()     {}
 func (Timer) event()         {}
 func (ProbeResult) event()   {}
 func (PeerMessage) event()   {}
--- a/calls.go
+++ b/calls.go
@@ -166,6 +166,16 @@
 	c.emit(Attempt{call.ID, s.ID, call.deadline - c.now})
 }
 
+// onAnswerDue gives the final answer of a call that the node can no longer wait for.
+func (c *Controller) onAnswerDue(ev AnswerDue) {
+	call := c.calls[ev.Call]
+	if call == nil {
+		return
+	}
+	call.mayHaveRun = call.mayHaveRun || ev.AttemptSent
+	c.refuseOrAbandon(call)
+}
+
 // refuseOrAbandon gives the final answer: Abandon if an attempt may have run and a repeat at another server
 // might not be recognised, otherwise Refuse.
 func (c *Controller) refuseOrAbandon(call *openCall) {
--- a/controller.go
+++ b/controller.go
@@ -150,6 +150,8 @@
 		c.onAttemptResult(ev)
 	case CallCancelled:
 		c.endCall(c.calls[ev.Call], false)
+	case AnswerDue:
+		c.onAnswerDue(ev)
 	case Timer:
 		if ev.Cookie == slotTimerCookie {
 			c.onSlotTimer()
--- a/internal/edge/access/callers.go
+++ b/internal/edge/access/callers.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"larkrouter"
 	"larkrouter/internal/edge/admission"
 	codec "larkrouter/internal/edge/caller"
 	"larkrouter/internal/edge/trunk"
@@ -132,7 +131,7 @@
 	}
 	for n.partialBytes > n.cfg.MaxPartialBytes {
 		n.Totals.ConnsOverMemory++
-		n.refuseAndClose(n.largestPartial())
+		n.answerAndClose(n.largestPartial())
 	}
 }
 
@@ -146,18 +145,13 @@
 	return largest
 }
 
-// refuseAndClose refuses the open calls of a connection from callers and closes it.
-func (n *Node) refuseAndClose(c *callerConn) {
+// answerAndClose gives the open calls of a connection from callers their final answer and closes it.
+func (n *Node) answerAndClose(c *callerConn) {
 	if c.OpenCalls > 0 {
 		for _, call := range n.callsAwaitingAnswer() {
-			if call.conn != c.id {
-				continue
+			if call.conn == c.id {
+				n.demandAnswer(call)
 			}
-			n.notifyModule(larkrouter.CallCancelled{Call: call.number})
-			if call.current != nil {
-				n.abandonAttempt(call.current, larkrouter.Cancelled)
-			}
-			n.refuseCall(call, 503, 0)
 		}
 	}
 	n.closeCaller(c)
@@ -176,7 +170,7 @@
 		n.write(conn, codec.Response(parseErr.Partial, parseErr.Status, 0, nil))
 	}
 	n.Totals.ConnsUnparsable++
-	n.refuseAndClose(c)
+	n.answerAndClose(c)
 }
 
 // CallerMessage handles a message from a caller. receivedAt is when its last byte arrived.
--- a/internal/edge/access/calls.go
+++ b/internal/edge/access/calls.go
@@ -137,6 +137,14 @@
 	n.refuseCall(call, 504, 0)
 }
 
+// demandAnswer has the module give the final answer of a call at once: only it knows whether the call may have run, and whether its
+// caller may then try again.
+func (n *Node) demandAnswer(call *callState) {
+	isSent := call.current != nil && call.current.trunk != nil
+	n.Totals.AnswersDemanded++
+	n.notifyModule(larkrouter.AnswerDue{Call: call.number, AttemptSent: isSent})
+}
+
 // cancelCall ends a call that needs no answer any more.
 func (n *Node) cancelCall(call *callState) {
 	n.removeCall(call)
--- a/internal/edge/access/node.go
+++ b/internal/edge/access/node.go
@@ -110,7 +110,7 @@
 	trunks           map[ConnID]*trunkConn
 	lastConn         ConnID
 	maintenanceTimer timers.Timer
-	stopDeadline     time.Duration // when the stopping node refuses all calls that are still open; 0: not stopping
+	stopDeadline     time.Duration // when the stopping node answers all calls that are still open; 0: not stopping
 	Totals           Totals
 }
 
@@ -228,18 +228,16 @@
 }
 
 // Stop notifies the node that it is stopping. It still accepts calls, but no call's deadline exceeds the given
-// one, and calls still open at that time are refused.
+// one, and calls still open at that time get their final answer.
 func (n *Node) Stop(now, deadline time.Duration) {
 	n.advanceClock(now)
 	n.stopDeadline = deadline
 	var timer timers.Timer
 	n.timerHeap.Set(&timer, deadline, func() {
-		for _, call := range n.callsAwaitingAnswer() {
-			n.notifyModule(larkrouter.CallCancelled{Call: call.number})
-			if call.current != nil {
-				n.abandonAttempt(call.current, larkrouter.Cancelled)
-			}
-			n.refuseCall(call, 503, 0)
+		open := n.callsAwaitingAnswer()
+		n.log(LogEntry{Event: "answers due as the node stops", Count: len(open)})
+		for _, call := range open {
+			n.demandAnswer(call)
 		}
 	})
 }
--- a/internal/edge/access/totals.go
+++ b/internal/edge/access/totals.go
@@ -10,6 +10,7 @@
 	Refused              uint64 // set-ups refused with 503
 	Failed               uint64 // set-ups refused with another status
 	Cancelled            uint64 `json:"Withdrawn"` // set-ups cancelled by the caller
+	AnswersDemanded      uint64 // calls answered before their deadline, as the node stopped or closed their connection
 	Overdue              uint64 // set-ups whose deadline passed before the module abandoned them
 	Adopted              uint64 // standing calls registered by their callers
 	AdoptedOverLimit     uint64 // standing calls given up because callers named more than the node holds
