--- a/internal/edge/access/stopped_trunk_test.go
+++ b/internal/edge/access/stopped_trunk_test.go
@@ -37,7 +37,8 @@
 }
 
 func newSimulatedServer(h *harness, id string) *simulatedServer {
-	return &simulatedServer{harness: h, id: id, callTime: 6 * time.Second, stopped: map[ConnID]bool{}, isDeaf: map[ConnID]bool{}, answers: map[int]ConnID{}, calls: map[int]ConnID{},
+	return &simulatedServer{harness: h, id: id, callTime: 6 * time.Second,
+		stopped: map[ConnID]bool{}, isDeaf: map[ConnID]bool{}, answers: map[int]ConnID{}, calls: map[int]ConnID{},
 		ends: map[int]time.Duration{}}
 }
 
@@ -307,7 +308,8 @@
 		conn.rememberRelease(serverRelease{call: &callState{}})
 	}
 	if n := len(conn.releases); n != maxServerReleases || conn.releases[0].isClaimed() {
-		t.Errorf("%d releases are remembered, the first of a made-up call: %v; want %d and false", n, conn.releases[0].isClaimed(), maxServerReleases)
+		t.Errorf("%d releases are remembered, the first of a made-up call: %v; want %d and false", n, conn.releases[0].isClaimed(),
+			maxServerReleases)
 	}
 	for range 2 * maxServerReleases {
 		conn.rememberRelease(serverRelease{call: &callState{attempts: 1}})
--- a/internal/edge/reachability/conn_test.go
+++ b/internal/edge/reachability/conn_test.go
@@ -11,12 +11,17 @@
 		history func(*Conn)
 		want    time.Duration // 10 s after it opened
 	}{
-		"nothing sent":           {func(*Conn) {}, 0},
-		"set-up pending":         {func(c *Conn) { c.SetUpSent(4 * time.Second) }, 6 * time.Second},
-		"second set-up pending":  {func(c *Conn) { c.SetUpSent(4 * time.Second); c.SetUpSent(5 * time.Second) }, 6 * time.Second},
-		"set-up answered":        {func(c *Conn) { c.SetUpSent(4 * time.Second); c.Received(5 * time.Second); c.SetUpEnded() }, 0},
-		"one of two is answered": {func(c *Conn) { c.SetUpSent(0); c.SetUpSent(0); c.Received(5 * time.Second); c.SetUpEnded() }, 5 * time.Second},
-		"set-up abandoned":       {func(c *Conn) { c.SetUpSent(4 * time.Second); c.SetUpAbandoned(); c.SetUpEnded() }, 6 * time.Second},
+		"nothing sent":          {func(*Conn) {}, 0},
+		"set-up pending":        {func(c *Conn) { c.SetUpSent(4 * time.Second) }, 6 * time.Second},
+		"second set-up pending": {func(c *Conn) { c.SetUpSent(4 * time.Second); c.SetUpSent(5 * time.Second) }, 6 * time.Second},
+		"set-up answered":       {func(c *Conn) { c.SetUpSent(4 * time.Second); c.Received(5 * time.Second); c.SetUpEnded() }, 0},
+		"one of two is answered": {func(c *Conn) {
+			c.SetUpSent(0)
+			c.SetUpSent(0)
+			c.Received(5 * time.Second)
+			c.SetUpEnded()
+		}, 5 * time.Second},
+		"set-up abandoned": {func(c *Conn) { c.SetUpSent(4 * time.Second); c.SetUpAbandoned(); c.SetUpEnded() }, 6 * time.Second},
 		"abandoned, then heard": {func(c *Conn) {
 			c.SetUpSent(4 * time.Second)
 			c.SetUpAbandoned()
