serve: a call that may have run is not refused at the end of a stop

What callers would see: `larkrouter serve` answers 503 at the end of a stop to a call whose INVITE is out at a server and which may not be repeated. The caller dials again, and it runs twice.

EndAllCalls withdrew every unanswered call from the module and wrote 503 itself.

Change: EndAllCalls asks the module by AnswerDue (answerAtEnd).

Measured: TestStopAnswersSentCall fails before (503 for 500) and passes; the tests of internal/node and internal/daemon pass.

--- a/internal/node/dialog_test.go
+++ b/internal/node/dialog_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"larkrouter"
 	"larkrouter/internal/pool"
 	"larkrouter/internal/sip"
 )
@@ -290,6 +291,25 @@
 	}
 }
 
+// TestStopAnswersSentCall guards against a call that may have run and may not be repeated, whose caller is told to try again as the node
+// stops. One that may be repeated is refused.
+func TestStopAnswersSentCall(t *testing.T) {
+	for repeat, want := range map[larkrouter.Repeat]string{larkrouter.NonRepeatable: "500", larkrouter.Repeatable: "503"} {
+		s := newScript(t, func(c *Config) { c.Settings.Classes[0].Repeat = repeat })
+		s.receive(callerPeer, invite("a"))
+		serverInvite := s.want(sip.INVITE)
+		s.receive(serverInvite.To, reply(serverInvite.Send, 100))
+		s.sent = nil
+		s.node.EndAllCalls(s.now)
+		s.collect()
+		s.want(want)
+		s.want(sip.CANCEL)
+		if waiting, _ := s.node.OpenCalls(); waiting != 0 {
+			t.Errorf("%d calls wait for an answer, want none", waiting)
+		}
+	}
+}
+
 // TestReleaseOfStoredDialogs checks that the dialogs that the previous process left standing are ended before new
 // calls are accepted. The CSeq of the BYE must be higher than any that was sent on the dialog, and callers get 503
 // until the BYE is answered.
--- a/internal/node/indialog.go
+++ b/internal/node/indialog.go
@@ -309,12 +309,23 @@
 		case call.standing:
 			n.dropCall(call, "node stops", nil)
 		case !call.answered:
-			n.withdrawCall(call, "node stops")
-			if resp := n.newFinalResponse(call, 503, ""); !call.answered {
-				resp.Add("Retry-After", formatRetryAfter(call.cfg.MaxRetryAfter))
-				n.failCallWith(call, resp, "refused", "node stops")
-			}
+			n.answerAtEnd(call)
 		}
 	}
 	n.sub.setActive(false)
 }
+
+// answerAtEnd gives an unanswered call its final answer as the node stops. The module decides which one, as only it knows whether the
+// call may have run and whether its caller may then try again.
+func (n *Node) answerAtEnd(call *callContext) {
+	if call.announced && !call.endReported {
+		n.notifyModule(larkrouter.AnswerDue{Call: call.id, AttemptSent: call.currentAttempt != nil})
+	}
+	n.withdrawCall(call, "node stops")
+	if call.answered {
+		return
+	}
+	resp := n.newFinalResponse(call, 503, "")
+	resp.Add("Retry-After", formatRetryAfter(call.cfg.MaxRetryAfter))
+	n.failCallWith(call, resp, "refused", "node stops")
+}
