edge: a command channel that does not answer is asked every 4 s, however long that takes

Set-ups go to a call server 7.5 s after it was told to drain; 1 s is allowed.

Cause: firstResponse made requests in rounds of at most four, 4 s apart, and began the next round only when all had ended, each after up to 16 s. RepeatInterval promised 4 s and held for the first 12 s of a round alone.

Change: a request every 4 s until one is answered; with four waiting the oldest gives way (feedRequests).

--- a/internal/edge/feed/limits.go
+++ b/internal/edge/feed/limits.go
@@ -10,11 +10,11 @@
 	// broken. It sends at least a comment each second.
 	SilenceTimeout = 2 * time.Second
 
-	// RepeatInterval is how long a request may wait for its first byte before another one is made beside it. A change counts as told
-	// 6 s after the channel is back, whatever a request that was made before is waiting for.
+	// RepeatInterval is the time between two requests while none has got its first byte. A change counts as told 6 s after the channel
+	// is back, whatever a request that was made before is waiting for.
 	RepeatInterval = 4 * time.Second
 
-	// MaxRequests is the limit on requests that wait at the same time.
+	// MaxRequests is the limit on requests that wait at the same time. At the limit the oldest gives way.
 	MaxRequests = int(maxFirstByteTimeout / RepeatInterval)
 
 	minFirstByteTimeout = 2 * time.Second
--- a/internal/edge/feedclient.go
+++ b/internal/edge/feedclient.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"time"
 
@@ -19,6 +21,7 @@
 	addr   string
 	cursor *feed.Cursor
 	limit  feed.FirstByteLimit
+	dial   func(ctx context.Context, network, addr string) (net.Conn, error) // nil: over TCP
 }
 
 var (
@@ -44,8 +47,7 @@
 		if hasReceived {
 			failures = 0
 		}
-		c.log.Warn("command channel broken", "address", c.addr, "cursor", c.cursor.Last, "cause", fmt.Sprint(err),
-			"first_byte_limit", c.limit.Duration().String())
+		c.logBroken(err)
 		select {
 		case <-ctx.Done():
 		case <-time.After(feed.Backoff(failures)):
@@ -54,6 +56,11 @@
 	}
 }
 
+func (c *feedClient) logBroken(cause error) {
+	c.log.Warn("command channel broken", "address", c.addr, "cursor", c.cursor.Last, "cause", fmt.Sprint(cause),
+		"first_byte_limit", c.limit.Duration().String())
+}
+
 // readOnce requests the events and handles them until the connection ends, takes too long, or has a gap in its events.
 // hasReceived reports whether a new event was received.
 func (c *feedClient) readOnce(ctx context.Context) (hasReceived bool, err error) {
@@ -73,63 +80,87 @@
 	err      error
 }
 
-// firstResponse requests the events, and again at intervals while no request has been answered, as a request made while the channel was
-// silent may never be. It returns the first response, or the last error once no request is left.
+// firstResponse requests the events, and again at intervals for as long as no request has been answered, as a request made while the
+// channel was silent may never be. It returns the first response, or the last error once no request is left.
 func (c *feedClient) firstResponse(ctx context.Context) (*feedResponse, error) {
-	results := make(chan requestResult, feed.MaxRequests) // those that are left behind need no reader
-	waiting := map[int]context.CancelFunc{}
-	defer func() {
-		for _, cancel := range waiting {
-			cancel()
-		}
-	}()
+	requests := &feedRequests{client: c, results: make(chan requestResult), waiting: map[int]context.CancelFunc{}}
+	ctx, cancel := context.WithCancel(ctx)
+	requests.start(ctx)
 	again := time.NewTicker(feed.RepeatInterval)
 	defer again.Stop()
-	hasTimedOut := false
-	for next := 0; ; {
-		if len(waiting) == 0 {
-			waiting[next] = c.startRequest(ctx, next, results)
-			next++
-		}
+	for {
 		select {
+		case <-ctx.Done():
+			cancel()
+			return nil, ctx.Err()
 		case <-again.C:
-			if next < feed.MaxRequests {
-				waiting[next] = c.startRequest(ctx, next, results)
-				next++
-			}
-		case result := <-results:
-			cancel := waiting[result.number]
-			delete(waiting, result.number)
-			if result.err == nil {
-				result.response.end = cancel
+			requests.giveUpOldest()
+			requests.start(ctx)
+		case result := <-requests.results:
+			if end := requests.remove(result.number); result.err == nil {
+				requests.giveUpAll()
+				result.response.end = func() { end(); cancel() }
 				return result.response, nil
 			}
-			cancel()
-			if errors.Is(result.err, errSilent) && !hasTimedOut {
-				hasTimedOut = true
+			if errors.Is(result.err, errSilent) {
 				c.limit.TimedOut()
 			}
-			if len(waiting) == 0 {
+			if len(requests.waiting) == 0 {
+				cancel()
 				return nil, result.err
 			}
+			c.logBroken(result.err)
 		}
 	}
 }
 
-// startRequest makes a request in a goroutine, which sends its result.
-func (c *feedClient) startRequest(ctx context.Context, number int, results chan<- requestResult) context.CancelFunc {
+// feedRequests are the requests that wait for the first byte of their response.
+type feedRequests struct {
+	client  *feedClient
+	results chan requestResult
+	waiting map[int]context.CancelFunc // by number, in order of their start
+	next    int
+}
+
+// start makes a request in a goroutine, which sends its result unless the request is given up.
+func (r *feedRequests) start(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
-	last, limit := c.cursor.Last, c.limit.Duration()
+	number, last, limit := r.next, r.client.cursor.Last, r.client.limit.Duration()
+	r.waiting[number] = cancel
+	r.next++
 	go func() {
-		response, err := c.request(ctx, last, limit)
-		if err == nil && ctx.Err() != nil { // another request was answered first
-			response.close()
+		response, err := r.client.request(ctx, last, limit)
+		select {
+		case r.results <- requestResult{number, response, err}:
+		case <-ctx.Done():
+			if err == nil {
+				response.close()
+			}
 		}
-		results <- requestResult{number, response, err}
 	}()
+}
+
+// remove removes a request that has ended, and returns the function that ends its context.
+func (r *feedRequests) remove(number int) context.CancelFunc {
+	cancel := r.waiting[number]
+	delete(r.waiting, number)
 	return cancel
 }
 
+// giveUpOldest makes room for another request.
+func (r *feedRequests) giveUpOldest() {
+	for len(r.waiting) >= feed.MaxRequests {
+		r.remove(slices.Min(slices.Collect(maps.Keys(r.waiting))))()
+	}
+}
+
+func (r *feedRequests) giveUpAll() {
+	for _, cancel := range r.waiting {
+		cancel()
+	}
+	clear(r.waiting)
+}
+
 // request asks for the events after the given one, and returns the response once its first byte has arrived. limit is the time for that.
 func (c *feedClient) request(ctx context.Context, last uint64, limit time.Duration) (response *feedResponse, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -152,8 +183,10 @@
 	}
 	req.Header.Set("Last-Event-ID", strconv.FormatUint(last, 10))
 	req.Header.Set("Accept", "text/event-stream")
-	dialer := &net.Dialer{Timeout: feed.ConnectTimeout, KeepAlive: -1}
-	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dialer.DialContext}
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: c.dial}
+	if c.dial == nil {
+		transport.DialContext = (&net.Dialer{Timeout: feed.ConnectTimeout, KeepAlive: -1}).DialContext
+	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return nil, err
