--- a/internal/edge/access/stopped_trunk_test.go
+++ b/internal/edge/access/stopped_trunk_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -22,6 +23,7 @@
 	*harness
 	id       string
 	callTime time.Duration // how long a call stands
+	isSilent bool          // it says nothing on any connection
 	placed   int
 	accepted int // of the trunks that the node has opened
 	stopped  map[ConnID]bool
@@ -43,7 +45,7 @@
 }
 
 func (s *simulatedServer) send(conn ConnID, typ byte, n int, params ...trunk.Param) {
-	if !s.stopped[conn] && !s.closed[conn] {
+	if !s.isSilent && !s.stopped[conn] && !s.closed[conn] {
 		s.sendFromServer(conn, typ, n, params...)
 	}
 }
@@ -319,3 +321,31 @@
 		t.Errorf("%d releases are remembered, want %d, none of a made-up call", n, maxServerReleases)
 	}
 }
+
+// TestSlowTrunkIsKept guards against a connection that is left although it works: a set-up on it is only slow while others are answered
+// on another one, or the server says nothing anywhere for a while. The caller gets the answer in the end.
+func TestSlowTrunkIsKept(t *testing.T) {
+	for name, isServerSilent := range map[string]bool{"one slow set-up": false, "silent server": true} {
+		h := newHarness(t, testConfig(), "s-1")
+		server, caller, slowCaller := newSimulatedServer(h, "s-1"), h.openCaller(), h.openCaller()
+		server.callTime = time.Hour
+		slow := strings.NewReplacer("voice", "once", "3000", "8000").Replace(formatInvite(900, "dest:0;width:1;via:-1"))
+		h.sendFromCaller(slowCaller, slow)
+		first := h.trunks[serverAddr("s-1")][0]
+		h.receivedByServer("s-1") // the server works on it
+		server.isSilent = isServerSilent
+		if isServerSilent {
+			for range 500 {
+				server.step()
+			}
+		} else {
+			server.placeWhile(5*time.Second, caller, func() bool { return true })
+		}
+		server.isSilent = false
+		if h.closed[first] {
+			t.Fatalf("%s: the connection was left; log %v", name, h.logged)
+		}
+		server.send(first, trunk.TypeAnswer, 900, serverDescription)
+		h.expect(name+": answer", h.receivedByCaller(slowCaller), "[200 INVITE]")
+	}
+}
