edge: a call whose own connection has ended counts for all that may carry its release

What callers would see: a call server releases a call, whose own connection has ended, on another one that has stopped and that the node then closes as spare. The caller is told 12.3 s too late. No report; found by a scenario.

Cause: the node assigns such a call to one of its connections (reassignTrunk), and looked for lost releases on that one alone. The server may choose any open one.

The release is written at 26.65 s on a connection with no call of its own, which is closed as spare at 27.7 s; nothing is opened for 20 s, as two others work.

Change: calls whose own connection has ended count for every connection, when nothing has arrived on it for 4 s and when it is closed as spare after 2 s or more; shorter-lived ones are probes, which would follow one another. The scenarios stop connections in both directions in one of two.

--- a/internal/edge/access/calls.go
+++ b/internal/edge/access/calls.go
@@ -29,6 +29,7 @@
 	server          *server       // server of the standing call
 	trunk           ConnID        // trunk on which its set-up was sent, or one that was open when the call was named
 	trunkOpenedAt   time.Duration // when that trunk opened
+	hasTrunkEnded   bool          // the trunk on which its set-up was sent has ended: its server may release it on any
 	standingAttempt int           // ordinal of the attempt that was answered
 	adoptedIn       *adoptedGroup // nil unless the node knows the call only because its caller has named it
 	setUp           *codec.SetUp  // parsed INVITE; nil once the call stands
@@ -224,7 +225,7 @@
 	}
 	n.lastCallNumber++
 	call := &callState{number: n.lastCallNumber, id: setUp.ID, callID: newHexText(msg.Get("Call-ID")),
-		calledNumber: newHexText(setUp.Number), conn: c.id, isStanding: true, standingSince: n.now}
+		calledNumber: newHexText(setUp.Number), conn: c.id, isStanding: true, standingSince: n.now, hasTrunkEnded: true}
 	srv := n.servers[setUp.StandingAt]
 	released, isReleased := n.unknownReleases.byID[setUp.ID]
 	switch {
--- a/internal/edge/access/replacement.go
+++ b/internal/edge/access/replacement.go
@@ -71,6 +71,11 @@
 // reassignTrunk assigns the calls of a trunk that has ended to another one that was accepted by the same process: it was open already
 // while bytes arrived on the ended one. The calls then end with that one.
 func (n *Node) reassignTrunk(ended *trunkConn) {
+	for call := range ended.server.standing {
+		if call.trunk == ended.id {
+			call.hasTrunkEnded = true
+		}
+	}
 	for _, t := range ended.server.trunks {
 		if t.openedAt >= ended.liveness.LastActive() || !n.canRead(t) {
 			continue
--- a/internal/edge/access/server_trunks.go
+++ b/internal/edge/access/server_trunks.go
@@ -3,11 +3,15 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"larkrouter"
 	"larkrouter/internal/edge/reachability"
 )
 
+// probeLifetime is more than a trunk is open that was opened as a probe and carries no set-up.
+const probeLifetime = 2 * time.Second
+
 // maintainTrunks opens and closes trunks to a server as needed.
 func (n *Node) maintainTrunks(srv *server) {
 	if srv.reachability.IsUnresponsive(n.now) && slices.ContainsFunc(srv.trunks, func(t *trunkConn) bool { return t.isOpen }) {
@@ -51,7 +55,7 @@
 	}
 	return slices.ContainsFunc(srv.trunks, func(t *trunkConn) bool {
 		return t.isOpen && (srv.reachability.NeedsProbeBeside(&t.liveness, n.now) ||
-			srv.reachability.NeedsProbeForCalls(&t.liveness, n.now) && t.hasCalls())
+			srv.reachability.NeedsProbeForCalls(&t.liveness, n.now) && t.mayCarryReleases())
 	})
 }
 
@@ -74,6 +78,17 @@
 	return false
 }
 
+// mayCarryReleases reports whether calls stand whose release the server may send on the trunk: those that were set up on it, and those
+// whose own trunk has ended, for which the server may choose any.
+func (t *trunkConn) mayCarryReleases() bool {
+	for call := range t.server.standing {
+		if call.trunk == t.id || call.hasTrunkEnded {
+			return true
+		}
+	}
+	return false
+}
+
 // hasStopped reports whether an open trunk no longer works although its server does.
 func (n *Node) hasStopped(t *trunkConn) bool {
 	if !t.isOpen || !t.server.reachability.IsSuspect(&t.liveness, n.now) || n.hasUnreadInput(t.id) {
@@ -142,14 +157,15 @@
 	}
 }
 
-// closeSpareTrunk closes a trunk that is not needed, unless input waits to be read. Releases may cross the close.
+// closeSpareTrunk closes a trunk that is not needed, unless input waits to be read. Releases may cross the close. A trunk that was open
+// only for a moment, as probes are, is not followed by another one for the calls of other trunks.
 func (n *Node) closeSpareTrunk(t *trunkConn) {
 	if n.hasUnreadInput(t.id) {
 		return
 	}
-	hadCalls := t.hasCalls()
+	mayLoseRelease := t.hasCalls() || t.mayCarryReleases() && n.now-t.openedAt >= probeLifetime
 	n.closeTrunk(t)
-	if hadCalls {
+	if mayLoseRelease {
 		n.expectRepeatedReleases(t.server)
 	}
 }
--- a/internal/edge/reachability/conn.go
+++ b/internal/edge/reachability/conn.go
@@ -89,8 +89,8 @@
 	return s.IsSuspect(c, now) && now-s.openedAt >= s.settings.ProbeAfter
 }
 
-// NeedsProbeForCalls reports the same for a connection on which nothing is due, if calls stand that were set up on it: it may
-// have stopped too.
+// NeedsProbeForCalls reports the same for a connection on which nothing is due, if calls stand whose release may come on it: it
+// may have stopped too.
 func (s *State) NeedsProbeForCalls(c *Conn, now time.Duration) bool {
 	return now-c.LastActive() >= s.settings.QuietAfter && now-s.openedAt >= s.settings.QuietAfter
 }
--- a/internal/edge/scenario/scenario_test.go
+++ b/internal/edge/scenario/scenario_test.go
@@ -77,3 +77,12 @@
 		})
 	}
 }
+
+// TestReleaseOnSpareConnection guards against a caller that is not told the end of its call, because its server has released it on a
+// connection that has stopped, that carried no set-up of a standing call, and that the node closes as spare.
+func TestReleaseOnSpareConnection(t *testing.T) {
+	const seed = 11004
+	if result := RunStopping(seed); result.Faults > 0 {
+		t.Errorf("larkrouter scenario --stopping --seed %d\n%s", seed, result)
+	}
+}
--- a/internal/edge/scenario/server.go
+++ b/internal/edge/scenario/server.go
@@ -137,6 +137,10 @@
 		if msg == nil {
 			return
 		}
+		if l.isDeaf {
+			s.noteGivenUp(msg)
+			continue
+		}
 		s.handle(l, msg)
 	}
 }
--- a/internal/edge/scenario/stopping.go
+++ b/internal/edge/scenario/stopping.go
@@ -48,6 +48,10 @@
 		names = append(names, "no state unasked")
 		w.statesOnlyOnOpen = true
 	}
+	if w.oneIn(2) {
+		names = append(names, "both ways")
+		w.stopBothWays = true
+	}
 	interval := w.between(minStopInterval, maxStopInterval)
 	names = append(names, fmt.Sprintf("a connection stops each %v", interval.Round(time.Millisecond)))
 	w.stopConnLater(interval)
@@ -74,6 +78,13 @@
 	})
 }
 
+// noteGivenUp notes a release that never reaches the server: the node has given its set-up up, and cannot do more.
+func (s *callServer) noteGivenUp(msg *trunk.Message) {
+	if setUp, isPending := s.pending[msg.Call]; isPending && msg.Type == trunk.TypeRelease {
+		s.record("in", "CANCEL", 0, msg.Call, setUp.leg)
+	}
+}
+
 // spoilAnswer sends a spoilt answer.
 func (s *callServer) spoilAnswer(l *link, call uint64, description trunk.Param) {
 	switch s.spoilNext {
@@ -85,5 +96,5 @@
 	case answerArrivesLast:
 		s.send(l, trunk.TypeAnswer, call, description)
 	}
-	s.spoilNext, l.hasStopped = answerSound, true
+	s.spoilNext, l.hasStopped, l.isDeaf = answerSound, true, s.w.stopBothWays
 }
--- a/internal/edge/scenario/world.go
+++ b/internal/edge/scenario/world.go
@@ -33,6 +33,7 @@
 	faults    faultList
 
 	maxAdoptedCalls  int  // limit of the node
+	stopBothWays     bool // connections that stop do so in both directions
 	statesOnlyOnOpen bool // call servers send their state on new connections alone
 }
 
@@ -43,6 +44,7 @@
 	isOpen bool
 
 	hasStopped bool // nothing arrives at the node any more
+	isDeaf     bool // nothing arrives at the peer any more
 }
 
 // peer is the far end of a link.
