edge: lost releases are asked for in one place, where a connection ends

Six places remembered to ask for lost releases, one of them with a rule of its own; reachability.Conn counted pending set-ups and kept an opening time that the connection had already; each call cloned the server's list of connections once more.

Change: removeTrunk asks, for every connection on which releases may have come (mayCarryReleases; hasCalls is gone). Only a probe that is closed as spare is excepted, as probes would follow one another. Conn takes the number of pending set-ups, and the connection's opening time is kept in it alone. The decisions take times in place of connections. reassignTrunk is one loop. Nothing is cloned unless a connection has stopped.

--- a/internal/edge/access/attempts.go
+++ b/internal/edge/access/attempts.go
@@ -112,8 +112,8 @@
 	if att.ordinal > 0 {
 		n.Totals.SentAgain++
 	}
+	t.liveness.SetUpSent(n.now, len(t.pending))
 	att.trunk, t.pending[call.id], t.lastUsed = t, att, n.now
-	t.liveness.SetUpSent(n.now)
 	n.timerHeap.Set(&att.timer, att.expires, func() { n.abandonAttempt(att, larkrouter.TimedOut) })
 	n.write(t.id, data)
 }
@@ -139,7 +139,6 @@
 	if len(t.abandoned) > maxAbandonedSetUps/2 && n.trunks[t.id] == t {
 		clear(t.abandoned)
 		n.closeTrunk(t)
-		n.expectRepeatedReleases(t.server)
 	}
 }
 
@@ -148,7 +147,6 @@
 	n.timerHeap.Stop(&att.timer)
 	if att.trunk != nil {
 		delete(att.trunk.pending, att.call.id)
-		att.trunk.liveness.SetUpEnded()
 	} else {
 		att.server.queue = slices.DeleteFunc(att.server.queue, func(other *attempt) bool { return other == att })
 	}
--- a/internal/edge/access/calls.go
+++ b/internal/edge/access/calls.go
@@ -245,7 +245,7 @@
 	n.offerReleases(c)
 	call.server = srv
 	if t := n.openTrunk(srv); t != nil {
-		call.trunk, call.trunkOpenedAt = t.id, t.openedAt
+		call.trunk, call.trunkOpenedAt = t.id, t.liveness.OpenedAt()
 	}
 	n.callsByID[call.id], n.callsByNumber[call.number] = call, call
 	srv.standing[call] = struct{}{}
--- a/internal/edge/access/replacement.go
+++ b/internal/edge/access/replacement.go
@@ -65,27 +65,23 @@
 
 // isOfProcess reports whether an open trunk was accepted by the process with the given start.
 func (t *trunkConn) isOfProcess(start time.Duration) bool {
-	return t.openedAt >= start-startTolerance || t.liveness.LastActive() >= start+startTolerance
+	return t.liveness.OpenedAt() >= start-startTolerance || t.liveness.LastActive() >= start+startTolerance
 }
 
 // reassignTrunk assigns the calls of a trunk that has ended to another one that was accepted by the same process: it was open already
 // while bytes arrived on the ended one. The calls then end with that one.
 func (n *Node) reassignTrunk(ended *trunkConn) {
+	i := slices.IndexFunc(ended.server.trunks, func(t *trunkConn) bool {
+		return t.liveness.OpenedAt() < ended.liveness.LastActive() && n.canRead(t)
+	})
 	for call := range ended.server.standing {
-		if call.trunk == ended.id {
-			call.hasTrunkEnded = true
-		}
-	}
-	for _, t := range ended.server.trunks {
-		if t.openedAt >= ended.liveness.LastActive() || !n.canRead(t) {
+		if call.trunk != ended.id {
 			continue
 		}
-		for call := range ended.server.standing {
-			if call.trunk == ended.id {
-				call.trunk = t.id
-			}
+		call.hasTrunkEnded = true
+		if i >= 0 {
+			call.trunk = ended.server.trunks[i].id
 		}
-		return
 	}
 }
 
--- a/internal/edge/access/server_releases.go
+++ b/internal/edge/access/server_releases.go
@@ -66,7 +66,7 @@
 // forgetConfirmedReleases forgets the releases that the server has read.
 func (t *trunkConn) forgetConfirmedReleases() {
 	t.releases = slices.DeleteFunc(t.releases, func(release serverRelease) bool {
-		return t.liveness.HasReceivedSince(release.sentAt + serverReleaseConfirmedTime)
+		return t.liveness.LastReceived() >= release.sentAt+serverReleaseConfirmedTime
 	})
 }
 
--- a/internal/edge/access/server_trunks.go
+++ b/internal/edge/access/server_trunks.go
@@ -9,9 +9,6 @@
 	"larkrouter/internal/edge/reachability"
 )
 
-// probeLifetime is more than a trunk is open that was opened as a probe and carries no set-up.
-const probeLifetime = 2 * time.Second
-
 // maintainTrunks opens and closes trunks to a server as needed.
 func (n *Node) maintainTrunks(srv *server) {
 	if srv.reachability.IsUnresponsive(n.now) && slices.ContainsFunc(srv.trunks, func(t *trunkConn) bool { return t.isOpen }) {
@@ -54,8 +51,8 @@
 		return true
 	}
 	return slices.ContainsFunc(srv.trunks, func(t *trunkConn) bool {
-		return t.isOpen && (srv.reachability.NeedsProbeBeside(&t.liveness, n.now) ||
-			srv.reachability.NeedsProbeForCalls(&t.liveness, n.now) && t.mayCarryReleases())
+		return t.isOpen && (srv.reachability.NeedsProbeBeside(n.now, n.silence(t)) ||
+			srv.reachability.NeedsProbeForCalls(n.now, t.liveness.LastActive()) && t.mayCarryReleases())
 	})
 }
 
@@ -68,69 +65,65 @@
 	return count
 }
 
-// hasCalls reports whether calls stand that were set up on the trunk.
-func (t *trunkConn) hasCalls() bool {
-	for call := range t.server.standing {
-		if call.trunk == t.id {
-			return true
-		}
-	}
-	return false
-}
-
 // mayCarryReleases reports whether calls stand whose release the server may send on the trunk: those that were set up on it, and those
 // whose own trunk has ended, for which the server may choose any.
 func (t *trunkConn) mayCarryReleases() bool {
 	for call := range t.server.standing {
-		if call.trunk == t.id || call.hasTrunkEnded {
+		if call.trunk == t.id || call.hasTrunkEnded && !t.isSpentProbe {
 			return true
 		}
 	}
 	return false
 }
 
+// silence returns for how long nothing has arrived on a trunk while something was due.
+func (n *Node) silence(t *trunkConn) time.Duration {
+	return t.liveness.SilentFor(n.now, len(t.pending))
+}
+
+// isSuspect reports whether a trunk may no longer work.
+func (n *Node) isSuspect(t *trunkConn) bool { return t.server.reachability.IsSuspect(n.silence(t)) }
+
 // hasStopped reports whether an open trunk no longer works although its server does.
 func (n *Node) hasStopped(t *trunkConn) bool {
-	if !t.isOpen || !t.server.reachability.IsSuspect(&t.liveness, n.now) || n.hasUnreadInput(t.id) {
+	if !t.isOpen || !n.isSuspect(t) || n.hasUnreadInput(t.id) {
 		return false
 	}
-	var open []*reachability.Conn
+	receivedElsewhere := time.Duration(0)
 	for _, other := range t.server.trunks {
-		if other.isOpen {
-			open = append(open, &other.liveness)
+		if other != t {
+			receivedElsewhere = max(receivedElsewhere, other.liveness.LastReceived())
 		}
 	}
-	return t.server.reachability.HasStopped(&t.liveness, n.now, open)
+	return receivedElsewhere > 0 && t.server.reachability.HasStopped(n.silence(t), n.now-receivedElsewhere)
 }
 
 // leaveStoppedTrunks closes the trunks that no longer work, and returns the number of those that stay: one with pending set-ups
 // does until they have ended by their own timers, as they may only be slow.
 func (n *Node) leaveStoppedTrunks(srv *server) (remaining int) {
+	if !slices.ContainsFunc(srv.trunks, n.hasStopped) {
+		return 0
+	}
 	for _, t := range slices.Clone(srv.trunks) {
 		switch {
 		case !n.hasStopped(t):
-		case !t.liveness.MayDropSetUps():
+		case !t.liveness.MayDropSetUps(len(t.pending)):
 			remaining++
 		default:
-			n.leaveStoppedTrunk(t)
+			n.Totals.TrunksStopped++
+			n.log(LogEntry{Event: "connection to a call server has stopped", Server: srv.id, Count: len(t.pending),
+				Cause: fmt.Sprintf("silent for %v, %d bytes of an incomplete message", n.silence(t), t.liveness.IncompleteBytes())})
+			n.closeTrunk(t)
 		}
 	}
 	return remaining
 }
 
-func (n *Node) leaveStoppedTrunk(t *trunkConn) {
-	n.Totals.TrunksStopped++
-	n.log(LogEntry{Event: "connection to a call server has stopped", Server: t.server.id, Count: len(t.pending),
-		Cause: fmt.Sprintf("silent for %v, %d bytes of an incomplete message", t.liveness.SilentFor(n.now), t.liveness.IncompleteBytes())})
-	n.closeTrunk(t)
-	n.expectRepeatedReleases(t.server)
-}
-
-// expectRepeatedReleases has a new trunk opened after one has ended: the server may have sent releases on that one which never
-// arrived. It repeats them on the next connection that opens, whatever others are open.
-func (n *Node) expectRepeatedReleases(srv *server) {
-	if len(srv.standing) > 0 {
-		srv.releasesLostAt = n.now
+// expectRepeatedReleases has a new trunk opened after the end of one on which the server may have sent releases that never arrived.
+// It repeats them on the next connection that opens, whatever others are open.
+func (n *Node) expectRepeatedReleases(ended *trunkConn) {
+	if ended.mayCarryReleases() {
+		ended.server.releasesLostAt = n.now
 	}
 }
 
@@ -157,17 +150,13 @@
 	}
 }
 
-// closeSpareTrunk closes a trunk that is not needed, unless input waits to be read. Releases may cross the close. A trunk that was open
-// only for a moment, as probes are, is not followed by another one for the calls of other trunks.
+// closeSpareTrunk closes a trunk that is not needed, unless input waits to be read.
 func (n *Node) closeSpareTrunk(t *trunkConn) {
 	if n.hasUnreadInput(t.id) {
 		return
 	}
-	mayLoseRelease := t.hasCalls() || t.mayCarryReleases() && n.now-t.openedAt >= probeLifetime
+	t.isSpentProbe = reachability.IsProbe(n.now - t.liveness.OpenedAt())
 	n.closeTrunk(t)
-	if mayLoseRelease {
-		n.expectRepeatedReleases(t.server)
-	}
 }
 
 func (n *Node) isStale(t *trunkConn) bool {
--- a/internal/edge/access/servers.go
+++ b/internal/edge/access/servers.go
@@ -151,7 +151,7 @@
 				report.Trunks++
 			}
 			report.PendingSetUps += len(t.pending)
-			report.SilentFor = max(report.SilentFor, t.liveness.SilentFor(n.now))
+			report.SilentFor = max(report.SilentFor, n.silence(t))
 			report.IncompleteBytes += t.liveness.IncompleteBytes()
 		}
 		reports = append(reports, report)
--- a/internal/edge/access/trunks.go
+++ b/internal/edge/access/trunks.go
@@ -16,12 +16,13 @@
 	server   *server
 	isOpen   bool
 	dialedAt time.Duration
-	openedAt time.Duration
 	lastUsed time.Duration // when it opened, or when a message was last read or written
 
 	liveness reachability.Conn
 	releases []serverRelease // written to it, and perhaps not read
 
+	isSpentProbe bool // it is closed soon after it opened, as spare: none is opened for what it may have carried of other trunks' calls
+
 	pending   map[uint64]*attempt // set-ups that await an answer, by the caller's id of the call
 	abandoned map[uint64]struct{} // set-ups abandoned on it, by the caller's id: answers that still arrive for them are late
 }
@@ -60,6 +61,7 @@
 	delete(n.trunks, t.id)
 	srv.trunks = slices.DeleteFunc(srv.trunks, func(other *trunkConn) bool { return other == t })
 	if t.isOpen {
+		n.expectRepeatedReleases(t)
 		srv.reachability.ConnClosed(n.now)
 		n.reassignTrunk(t)
 	}
@@ -85,7 +87,7 @@
 	if t == nil {
 		return
 	}
-	t.isOpen, t.openedAt, t.lastUsed = true, n.now, n.now
+	t.isOpen, t.lastUsed = true, n.now
 	t.liveness.Opened(n.now)
 	srv := t.server
 	srv.reachability.ConnOpened(n.now)
@@ -129,7 +131,6 @@
 	if t := n.trunks[conn]; t != nil {
 		n.log(LogEntry{Event: "connection to a call server ended", Server: t.server.id, Cause: cause, Count: len(t.pending)})
 		n.removeTrunk(t)
-		n.expectRepeatedReleases(t.server)
 		n.maintainServer(t.server)
 	}
 }
@@ -140,7 +141,6 @@
 	if t := n.trunks[conn]; t != nil {
 		n.log(LogEntry{Event: "unreadable from a call server", Server: t.server.id, Cause: err.Error(), Count: len(t.pending)})
 		n.closeTrunk(t)
-		n.expectRepeatedReleases(t.server)
 		n.maintainServer(t.server)
 	}
 }
@@ -204,12 +204,11 @@
 	if description == nil { // without a description the caller cannot use the answer
 		n.log(LogEntry{Event: "answer without a description", Server: t.server.id, Call: msg.Call})
 		n.closeTrunk(t)
-		n.expectRepeatedReleases(t.server)
 		return
 	}
 	n.detachAttempt(att)
 	t.server.counts.Answered++
-	call.server, call.trunk, call.trunkOpenedAt, call.standingAttempt = t.server, t.id, t.openedAt, att.ordinal
+	call.server, call.trunk, call.trunkOpenedAt, call.standingAttempt = t.server, t.id, t.liveness.OpenedAt(), att.ordinal
 	t.server.standing[call] = struct{}{}
 	n.answerCall(call, description)
 	n.notifyModule(larkrouter.Standing{Call: call.number, Server: t.server.number, Elapsed: n.now - att.startedAt, Attempt: att.ordinal})
@@ -289,8 +288,3 @@
 	}
 	return found
 }
-
-// isSuspect reports whether a trunk may no longer work.
-func (n *Node) isSuspect(t *trunkConn) bool {
-	return t.server.reachability.IsSuspect(&t.liveness, n.now)
-}
