serve: a call that rings is answered by the module at the end of a stop

What callers would see: with CountAlertingAsSetUp, `larkrouter serve` refuses a call that rings at the end of a stop, though it may have run and may not be repeated.

Cause: the module has ended such a call, as it was told that it stands, so that AnswerDue found nothing and the node refused it itself.

Change: AnswerDue says that the call rings, and its class; the module answers by its usual rule. The node refuses only calls that the module was never told of.

Measured: TestStopAnswersSentCall, now also with a 180, fails before (503 for 500) and passes, and so do the two new rows of TestAnswerDue.

--- a/api.go
+++ b/api.go
@@ -162,6 +162,8 @@
 	AnswerDue struct {
 		Call        uint64
 		AttemptSent bool // an attempt is outstanding, and may have run
+		IsAlerting  bool // the call was reported as Standing when it rang, and has no final answer
+		Class       int  // index in Settings.Classes, of a call that rings
 	}
 	// Timer reports that the time requested by a Wake action has passed. Cookie is that of the Wake.
 	Timer struct{ Cookie uint64 }
--- a/calls.go
+++ b/calls.go
@@ -42,13 +42,8 @@
 	if c.calls[ev.ID] != nil {
 		return
 	}
-	call := &openCall{Call: ev, settings: c.settings,
+	call := &openCall{Call: ev, class: c.classOf(ev.Class), settings: c.settings,
 		deadline: c.now + ev.TimeLeft - answerMarginTicks*max(c.settings.Tick, time.Millisecond)}
-	// This class is used for a class number that the settings do not have.
-	call.class = Class{Aim: c.shortestAim, Worth: 1, LateShare: 1}
-	if ev.Class >= 0 && ev.Class < len(c.settings.Classes) {
-		call.class = c.settings.Classes[ev.Class]
-	}
 	call.firstTryAt = c.firstTryTime(call)
 	c.calls[ev.ID] = call
 	c.openCalls = append(c.openCalls, call)
@@ -66,6 +61,14 @@
 	c.routeOrHold(call)
 }
 
+// classOf returns a class by its number, or a default for a number that the settings do not have.
+func (c *Controller) classOf(number int) Class {
+	if number >= 0 && number < len(c.settings.Classes) {
+		return c.settings.Classes[number]
+	}
+	return Class{Aim: c.shortestAim, Worth: 1, LateShare: 1}
+}
+
 // firstTryTime is when the caller first tried; the aim runs from then. Unmarked redials are recognised by the
 // number called.
 func (c *Controller) firstTryTime(call *openCall) time.Duration {
@@ -169,6 +172,9 @@
 // onAnswerDue gives the final answer of a call that the node can no longer wait for.
 func (c *Controller) onAnswerDue(ev AnswerDue) {
 	call := c.calls[ev.Call]
+	if call == nil && ev.IsAlerting {
+		call = &openCall{Call: Call{ID: ev.Call}, class: c.classOf(ev.Class), settings: c.settings}
+	}
 	if call == nil {
 		return
 	}
--- a/calls_test.go
+++ b/calls_test.go
@@ -17,22 +17,28 @@
 		class        int
 		isSent       bool    // the attempt that is outstanding when the answer is due
 		firstOutcome Outcome // of an attempt before it; NotSent: there was none
+		isAlerting   bool
 		want         string
 	}{
-		{"repeatable, out", repeatable, true, NotSent, "refused"},
-		{"not repeatable, waiting to be sent", notRepeatable, false, NotSent, "refused"},
-		{"not repeatable, out", notRepeatable, true, NotSent, "abandoned"},
-		{"not repeatable, reset before", notRepeatable, false, Reset, "abandoned"},
-		{"not repeatable, rejected before", notRepeatable, false, Rejected, "refused"},
-		{"recognised at its server, out", keyed, true, NotSent, "abandoned"},
-		{"recognised everywhere, out", keyedEverywhere, true, NotSent, "refused"},
+		{"repeatable, out", repeatable, true, NotSent, false, "refused"},
+		{"not repeatable, waiting to be sent", notRepeatable, false, NotSent, false, "refused"},
+		{"not repeatable, out", notRepeatable, true, NotSent, false, "abandoned"},
+		{"not repeatable, reset before", notRepeatable, false, Reset, false, "abandoned"},
+		{"not repeatable, rejected before", notRepeatable, false, Rejected, false, "refused"},
+		{"recognised at its server, out", keyed, true, NotSent, false, "abandoned"},
+		{"recognised everywhere, out", keyedEverywhere, true, NotSent, false, "refused"},
+		{"not repeatable, rings", notRepeatable, true, NotSent, true, "abandoned"},
+		{"repeatable, rings", repeatable, true, NotSent, true, "refused"},
 	} {
 		node := newTestNode(t, settings, 2)
 		id, server := node.newCall(0, func(call *Call) { call.Class = tc.class })
 		if tc.firstOutcome != NotSent {
 			node.handle(AttemptResult{Call: id, Outcome: tc.firstOutcome, Server: server, Elapsed: 10 * ms})
 		}
-		actions := node.handle(AnswerDue{Call: id, AttemptSent: tc.isSent})
+		if tc.isAlerting {
+			node.reportStanding(id, server, 10*ms)
+		}
+		actions := node.handle(AnswerDue{Call: id, AttemptSent: tc.isSent, IsAlerting: tc.isAlerting, Class: tc.class})
 		if got := finalAnswer(actions, id); got != tc.want {
 			t.Errorf("%s: answer %q, want %q", tc.name, got, tc.want)
 		}
--- a/internal/node/dialog_test.go
+++ b/internal/node/dialog_test.go
@@ -292,20 +292,22 @@
 }
 
 // TestStopAnswersSentCall guards against a call that may have run and may not be repeated, whose caller is told to try again as the node
-// stops. One that may be repeated is refused.
+// stops, also while it rings and counts as set up. One that may be repeated is refused.
 func TestStopAnswersSentCall(t *testing.T) {
 	for repeat, want := range map[larkrouter.Repeat]string{larkrouter.NonRepeatable: "500", larkrouter.Repeatable: "503"} {
-		s := newScript(t, func(c *Config) { c.Settings.Classes[0].Repeat = repeat })
-		s.receive(callerPeer, invite("a"))
-		serverInvite := s.want(sip.INVITE)
-		s.receive(serverInvite.To, reply(serverInvite.Send, 100))
-		s.sent = nil
-		s.node.EndAllCalls(s.now)
-		s.collect()
-		s.want(want)
-		s.want(sip.CANCEL)
-		if waiting, _ := s.node.OpenCalls(); waiting != 0 {
-			t.Errorf("%d calls wait for an answer, want none", waiting)
+		for _, provisional := range []int{100, 180} {
+			s := newScript(t, func(c *Config) { c.Settings.Classes[0].Repeat, c.CountAlertingAsSetUp = repeat, true })
+			s.receive(callerPeer, invite("a"))
+			serverInvite := s.want(sip.INVITE)
+			s.receive(serverInvite.To, reply(serverInvite.Send, provisional))
+			s.sent = nil
+			s.node.EndAllCalls(s.now)
+			s.collect()
+			s.want(want)
+			s.want(sip.CANCEL)
+			if waiting, _ := s.node.OpenCalls(); waiting != 0 || len(s.sent) != 0 {
+				t.Errorf("%d calls wait for an answer after a %d, sent besides: %s; want none", waiting, provisional, s.sentKinds())
+			}
 		}
 	}
 }
--- a/internal/node/indialog.go
+++ b/internal/node/indialog.go
@@ -316,10 +316,11 @@
 }
 
 // answerAtEnd gives an unanswered call its final answer as the node stops. The module decides which one, as only it knows whether the
-// call may have run and whether its caller may then try again.
+// call may have run and whether its caller may then try again. One that the module has not been told of is refused.
 func (n *Node) answerAtEnd(call *callContext) {
 	if call.announced && !call.endReported {
-		n.notifyModule(larkrouter.AnswerDue{Call: call.id, AttemptSent: call.currentAttempt != nil})
+		n.notifyModule(larkrouter.AnswerDue{Call: call.id, Class: call.class, AttemptSent: call.currentAttempt != nil,
+			IsAlerting: call.standingReported})
 	}
 	n.withdrawCall(call, "node stops")
 	if call.answered {
